--- /dev/null
+++ b/crates/consensus/src/election.rs
@@ -0,0 +1,144 @@
+//! Elections: pre-vote, vote, and the election that a leader asks for when it stops.
+
+use crate::{Consensus, Envelope, HardState, LogIndex, Message, ReplicaId, Term, core::RoleState};
+use smallvec::SmallVec;
+
+/// The votes received so far.
+#[derive(Debug, Default)]
+pub(crate) struct Ballot {
+    granted: SmallVec<[ReplicaId; 5]>,
+}
+
+impl Ballot {
+    fn grant(&mut self, id: ReplicaId) {
+        if !self.granted.contains(&id) {
+            self.granted.push(id);
+        }
+    }
+}
+
+impl Consensus {
+    /// Says whether this replica leads or heard its leader within the election timeout.
+    pub(crate) fn has_live_leader(&self) -> bool {
+        let is_recent = self.ticks_since_leader < self.settings.election_ticks;
+        self.is_leader() || (self.leader.is_some() && is_recent)
+    }
+
+    pub(crate) fn start_pre_vote(&mut self) {
+        self.reset_election_timer();
+        self.leader = None;
+        let mut ballot = Ballot::default();
+        ballot.grant(self.id);
+        self.role = RoleState::PreCandidate(ballot);
+        let term = Term(self.term().0 + 1);
+        let message =
+            Message::PreVote { last_index: self.log.last_index(), last_term: self.log.last_term() };
+        for to in self.other_voters() {
+            let message = message.clone();
+            self.effects.messages.push(Envelope { from: self.id, to, term, message });
+        }
+        self.finish_pre_vote();
+    }
+
+    pub(crate) fn answer_pre_vote(
+        &mut self,
+        from: ReplicaId,
+        term: Term,
+        last_index: LogIndex,
+        last_term: Term,
+    ) {
+        let granted = term > self.term()
+            && !self.has_live_leader()
+            && self.is_up_to_date(last_index, last_term);
+        let term = if granted { term } else { self.term() };
+        let message = Message::PreVoteAnswer { granted };
+        self.effects.messages.push(Envelope { from: self.id, to: from, term, message });
+    }
+
+    pub(crate) fn count_pre_vote(&mut self, from: ReplicaId, granted: bool) {
+        if let RoleState::PreCandidate(ballot) = &mut self.role
+            && granted
+        {
+            ballot.grant(from);
+            self.finish_pre_vote();
+        }
+    }
+
+    fn finish_pre_vote(&mut self) {
+        if let RoleState::PreCandidate(ballot) = &self.role
+            && self.membership().has_quorum(|id| ballot.granted.contains(&id))
+        {
+            self.start_election(false);
+        }
+    }
+
+    pub(crate) fn start_transfer_election(&mut self) {
+        if !self.is_leader() && self.membership().is_voter(self.id) {
+            self.start_election(true);
+        }
+    }
+
+    fn start_election(&mut self, transfer: bool) {
+        self.reset_election_timer();
+        self.leader = None;
+        let term = Term(self.term().0 + 1);
+        self.set_hard_state(HardState { term, voted_for: Some(self.id) });
+        let mut ballot = Ballot::default();
+        ballot.grant(self.id);
+        self.role = RoleState::Candidate(ballot);
+        let message = Message::Vote {
+            last_index: self.log.last_index(),
+            last_term: self.log.last_term(),
+            transfer,
+        };
+        for to in self.other_voters() {
+            self.send(to, message.clone());
+        }
+        self.finish_election();
+    }
+
+    pub(crate) fn answer_vote(
+        &mut self,
+        from: ReplicaId,
+        last_index: LogIndex,
+        last_term: Term,
+        transfer: bool,
+    ) {
+        let is_free = match self.hard_state.voted_for {
+            Some(candidate) => candidate == from,
+            None => transfer || !self.has_live_leader(),
+        };
+        let granted = is_free && self.is_up_to_date(last_index, last_term);
+        if granted {
+            let term = self.term();
+            self.set_hard_state(HardState { term, voted_for: Some(from) });
+            self.reset_election_timer();
+        }
+        self.send(from, Message::VoteAnswer { granted });
+    }
+
+    pub(crate) fn count_vote(&mut self, from: ReplicaId, granted: bool) {
+        if let RoleState::Candidate(ballot) = &mut self.role
+            && granted
+        {
+            ballot.grant(from);
+            self.finish_election();
+        }
+    }
+
+    fn finish_election(&mut self) {
+        if let RoleState::Candidate(ballot) = &self.role
+            && self.membership().has_quorum(|id| ballot.granted.contains(&id))
+        {
+            self.become_leader();
+        }
+    }
+
+    fn is_up_to_date(&self, last_index: LogIndex, last_term: Term) -> bool {
+        (last_term, last_index) >= (self.log.last_term(), self.log.last_index())
+    }
+
+    fn other_voters(&self) -> SmallVec<[ReplicaId; 5]> {
+        self.membership().voters().filter(|id| *id != self.id).collect()
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/replicas.rs
@@ -0,0 +1,92 @@
+//! `replica init`, `add` and `remove`.
+
+use crate::{arguments::ReplicaCommand, error::CtlError, session::Session};
+use consensus::{Member, MemberRole, MembershipChange, ReplicaId};
+use operator::{OperatorEndpoint, StatusPage};
+use std::time::{Duration, Instant};
+
+/// The longest wait for a new replica to catch up.
+const CATCH_UP_LIMIT: Duration = Duration::from_secs(60);
+/// Pause between two tries to make a learner a voter.
+const CATCH_UP_PAUSE: Duration = Duration::from_millis(200);
+
+/// Carries out a command on the set of replicas.
+pub async fn run(session: &Session, command: &ReplicaCommand) -> Result<(), CtlError> {
+    match command {
+        ReplicaCommand::Init => init(session).await,
+        ReplicaCommand::Add { replica } => add(session, replica).await,
+        ReplicaCommand::Remove { id } => remove(session, id).await,
+    }
+}
+
+async fn init(session: &Session) -> Result<(), CtlError> {
+    let mut members = Vec::with_capacity(session.endpoints.len());
+    let mut uninitialised = Vec::new();
+    for (endpoint, page) in session.all_status().await {
+        let page = page?;
+        if page.replica.is_none() {
+            continue;
+        }
+        let member = member_of(&page, MemberRole::Voter)?;
+        if page.replica.as_ref().is_some_and(|replica| replica.is_initialised) {
+            println!("{} is initialised already", page.process);
+        }
+        members.push(member);
+        uninitialised.push(endpoint);
+    }
+    if members.is_empty() {
+        return Err(CtlError::Usage("no endpoint is a replica".to_owned()));
+    }
+    for endpoint in &uninitialised {
+        session.client.post::<_, ()>(endpoint, "/v1/bootstrap", &members).await?;
+    }
+    println!("group of {} replicas formed", members.len());
+    Ok(())
+}
+
+async fn add(session: &Session, endpoint: &OperatorEndpoint) -> Result<(), CtlError> {
+    let page: StatusPage = session.client.get(endpoint, "/v1/status").await?;
+    let member = member_of(&page, MemberRole::Learner)?;
+    let id = member.id;
+    let is_known = session
+        .leader_status()
+        .await?
+        .replica
+        .is_some_and(|leader| leader.members.iter().any(|known| known.member.id == id));
+    if !is_known {
+        let change = MembershipChange::AddLearner(member);
+        session.send::<_, ()>("/v1/membership", &change).await?;
+        println!("{id} added as a learner");
+    }
+    let started = Instant::now();
+    loop {
+        let change = MembershipChange::Promote(id);
+        match session.send::<_, ()>("/v1/membership", &change).await {
+            Ok(()) => break,
+            Err(error @ CtlError::RefusedRequest(_)) if started.elapsed() > CATCH_UP_LIMIT => {
+                return Err(error);
+            }
+            Err(CtlError::RefusedRequest(_)) => tokio::time::sleep(CATCH_UP_PAUSE).await,
+            Err(error) => return Err(error),
+        }
+    }
+    println!("{id} is a voter");
+    Ok(())
+}
+
+async fn remove(session: &Session, id: &str) -> Result<(), CtlError> {
+    let number = u64::from_str_radix(id, 16)
+        .map_err(|error| CtlError::Usage(format!("id {id:?}: {error}")))?;
+    let change = MembershipChange::Remove(ReplicaId(number));
+    session.send::<_, ()>("/v1/membership", &change).await?;
+    println!("{id} removed");
+    Ok(())
+}
+
+fn member_of(page: &StatusPage, role: MemberRole) -> Result<Member, CtlError> {
+    let replica = page
+        .replica
+        .as_ref()
+        .ok_or_else(|| CtlError::Usage(format!("{} is no replica", page.process)))?;
+    Ok(Member { id: replica.id, host: page.process.clone(), address: page.peer_address, role })
+}
--- /dev/null
+++ b/crates/daemon/src/handler.rs
@@ -0,0 +1,35 @@
+//! Passes messages of other processes to the role that they are for.
+
+use async_trait::async_trait;
+use entry::EntryNode;
+use peer::{PeerAnswer, PeerHandler, PeerRequest};
+use replica::ReplicaHandle;
+use std::sync::{Arc, OnceLock};
+use types::HostName;
+
+/// The roles of this process, filled in as they start.
+#[derive(Default)]
+pub(crate) struct RoleHandler {
+    pub(crate) replica: OnceLock<ReplicaHandle>,
+    pub(crate) entry: OnceLock<Arc<EntryNode>>,
+}
+
+#[async_trait]
+impl PeerHandler for RoleHandler {
+    async fn handle(&self, host: &HostName, request: PeerRequest) -> PeerAnswer {
+        let answer = match &request {
+            PeerRequest::Consensus(_)
+            | PeerRequest::Freshness(_)
+            | PeerRequest::Submit(_)
+            | PeerRequest::ChangeMembership(_) => match self.replica.get() {
+                Some(replica) => replica.handle(host, request).await,
+                None => None,
+            },
+            _ => match self.entry.get() {
+                Some(entry) => entry.handle(host, request).await,
+                None => None,
+            },
+        };
+        answer.unwrap_or_else(|| PeerAnswer::Refused("this process has no such role".to_owned()))
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,10 @@
+//! The daemon: wires the roles of one process together.
+
+mod backend;
+mod handler;
+mod metrics_page;
+mod process;
+mod settings_page;
+
+pub use process::{DaemonProcess, ProcessError};
+pub use settings_page::SETTINGS_PAGE;
--- /dev/null
+++ b/crates/daemon/src/main.rs
@@ -0,0 +1,72 @@
+//! `hawthornhill`: one process of the load balancer.
+
+use anyhow::{Context, Result};
+use clap::{Parser, Subcommand};
+use hawthornhill::{DaemonProcess, SETTINGS_PAGE};
+use platform::ProcessSettings;
+use std::{path::PathBuf, process::ExitCode};
+use tokio::signal::unix::{SignalKind, signal};
+
+/// Load balancer for servers whose load shifts in milliseconds.
+#[derive(Debug, Parser)]
+#[command(version, after_help = "Example: hawthornhill --settings /etc/hawthornhill.toml")]
+struct Arguments {
+    /// Settings file (TOML).
+    #[arg(long, value_name = "FILE")]
+    settings: Option<PathBuf>,
+
+    /// Check the settings and exit.
+    #[arg(long, requires = "settings")]
+    check: bool,
+
+    #[command(subcommand)]
+    command: Option<DaemonCommand>,
+}
+
+#[derive(Debug, Subcommand)]
+enum DaemonCommand {
+    /// Print the default settings, commented.
+    Settings,
+}
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("hawthornhill: {error:#}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn run() -> Result<()> {
+    let arguments = Arguments::parse();
+    if let Some(DaemonCommand::Settings) = arguments.command {
+        print!("{SETTINGS_PAGE}");
+        return Ok(());
+    }
+    let path = arguments.settings.context("--settings FILE is needed; see --help")?;
+    let settings =
+        ProcessSettings::load(&path).with_context(|| format!("settings {}", path.display()))?;
+    if arguments.check {
+        println!("{}: valid", path.display());
+        return Ok(());
+    }
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(settings.threads)
+        .enable_all()
+        .build()?;
+    runtime.block_on(serve(settings))
+}
+
+async fn serve(settings: ProcessSettings) -> Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let process = DaemonProcess::start(settings).await?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    process.stop().await;
+    Ok(())
+}
--- /dev/null
+++ b/crates/daemon/src/settings_page.rs
@@ -0,0 +1,43 @@
+//! The default settings with their meaning, units and ranges.
+
+/// A settings file that states every default.
+pub const SETTINGS_PAGE: &str = r#"# Host name, as in the certificate made by `hawthornctl keys host`.
+name = "host-1"
+# Failure domain of this host.
+failure_domain = "domain-1"
+# Roles: "entry" serves callers, "replica" keeps the replicated state.
+roles = ["entry", "replica"]
+# Folder with all files of the process; needed for the replica role.
+data_folder = "data"
+# Folder made by `hawthornctl keys host`.
+key_folder = "keys/host-1"
+# Where other processes connect (QUIC over UDP), IP:PORT.
+peer_address = "127.0.0.1:7000"
+# Where callers connect (HTTP), IP:PORT.
+caller_address = "127.0.0.1:8000"
+# Where servers announce themselves (HTTP), IP:PORT.
+server_address = "127.0.0.1:8100"
+# Where operators connect (HTTPS with client certificates), IP:PORT.
+operator_address = "127.0.0.1:9000"
+# Where the metrics page is (HTTP), IP:PORT.
+metrics_address = "127.0.0.1:9100"
+# Form of log lines: "terminal" or "json".
+log_format = "terminal"
+# Worker threads, 1 to 256.
+threads = 4
+# Requests in flight and waiting at an entry, 1 to 1000000.
+max_in_flight = 4096
+# How long callers may keep the guide's answer, in seconds, 1 to 600.
+guide_max_age_s = 5
+# Longest wait for requests in flight at a planned stop, in seconds, 1 to 600.
+stop_grace_s = 30
+# The greatest body of a request, in bytes, 1024 to 16777216.
+max_body_bytes = 1048576
+
+# Replicas that an entry asks first; it learns of others from them.
+[[replicas]]
+# Host name, as in the replica's certificate.
+host = "host-1"
+# IP:PORT.
+address = "127.0.0.1:7000"
+"#;
--- /dev/null
+++ b/crates/entry/src/context.rs
@@ -0,0 +1,140 @@
+//! What all parts of an entry share.
+
+use parking_lot::{Mutex, RwLock};
+use platform::{
+    DecisionCounters, EventKind, EventTags, EventTimeline, Logger, MetricsRegistry, TimerService,
+};
+use policy::FreshnessGate;
+use rand::{SeedableRng, rngs::SmallRng};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+use types::{
+    BookVersion, ClusterView, EntryIncarnation, EntryInfo, EntryName, ServerName, StewardId,
+};
+
+/// Counters of an entry's decisions.
+#[derive(Debug, Clone)]
+pub struct EntryCounters {
+    /// Requests of callers.
+    pub calls: DecisionCounters,
+    /// Freshness of the view.
+    pub freshness: DecisionCounters,
+    /// Servers and stewards.
+    pub servers: DecisionCounters,
+}
+
+impl EntryCounters {
+    /// Registers the counters.
+    pub fn new(metrics: &MetricsRegistry) -> Self {
+        Self {
+            calls: metrics.decisions("calls", "Decisions on requests of callers"),
+            freshness: metrics.decisions("freshness", "Confirmations of the view"),
+            servers: metrics.decisions("servers", "Decisions on servers"),
+        }
+    }
+}
+
+/// Identity, view, clock and instruments of an entry.
+pub struct EntryContext {
+    /// This entry, as it registers itself.
+    pub info: RwLock<EntryInfo>,
+    /// The gate before new work.
+    pub gate: FreshnessGate,
+    /// Counters.
+    pub counters: EntryCounters,
+    /// Time line.
+    pub timeline: EventTimeline,
+    /// Log.
+    pub logger: Logger,
+    /// Timer service.
+    pub timer: TimerService,
+    view: RwLock<Arc<ClusterView>>,
+    rng: Mutex<SmallRng>,
+}
+
+impl EntryContext {
+    /// Returns the context of an entry that has no view yet.
+    pub fn new(
+        info: EntryInfo,
+        metrics: &MetricsRegistry,
+        timeline: EventTimeline,
+        logger: Logger,
+        timer: TimerService,
+    ) -> Self {
+        let rng = SmallRng::seed_from_u64(info.incarnation.0);
+        Self {
+            info: RwLock::new(info),
+            gate: FreshnessGate::new(Instant::now()),
+            counters: EntryCounters::new(metrics),
+            timeline,
+            logger,
+            timer,
+            view: RwLock::default(),
+            rng: Mutex::new(rng),
+        }
+    }
+
+    /// Returns the entry's name.
+    pub fn name(&self) -> EntryName {
+        self.info.read().name.clone()
+    }
+
+    /// Returns the entry's incarnation.
+    pub fn incarnation(&self) -> EntryIncarnation {
+        self.info.read().incarnation
+    }
+
+    /// Returns this entry as a steward.
+    pub fn steward_id(&self) -> StewardId {
+        let info = self.info.read();
+        StewardId { entry: info.name.clone(), incarnation: info.incarnation }
+    }
+
+    /// Returns the view. Whoever acts on it asks the gate first.
+    pub fn view(&self) -> Arc<ClusterView> {
+        self.view.read().clone()
+    }
+
+    /// Replaces the view.
+    pub fn set_view(&self, view: Arc<ClusterView>) {
+        *self.view.write() = view;
+    }
+
+    /// Says whether new work may start now.
+    pub fn is_open(&self) -> bool {
+        self.gate.is_open(Instant::now())
+    }
+
+    /// Runs a closure with the entry's random numbers.
+    pub fn with_rng<T>(&self, draw: impl FnOnce(&mut SmallRng) -> T) -> T {
+        draw(&mut self.rng.lock())
+    }
+
+    /// Records an event about a request.
+    pub fn record_call(&self, kind: EventKind, request: uuid::Uuid, detail: String) {
+        let tags = EventTags { request: Some(request.to_string()), ..EventTags::default() };
+        self.timeline.record(kind, tags, detail);
+    }
+
+    /// Records an event about a server.
+    pub fn record_server(&self, kind: EventKind, server: &ServerName, detail: String) {
+        let tags = EventTags { server: Some(server.to_string()), ..EventTags::default() };
+        self.timeline.record(kind, tags, detail);
+    }
+}
+
+/// The version before any change of a book.
+pub(crate) const NO_VERSION: BookVersion = BookVersion(0);
+
+/// Returns the time left until a deadline, in whole milliseconds, at least 1.
+pub(crate) fn left_ms(deadline: Instant) -> u32 {
+    let left = deadline.saturating_duration_since(Instant::now()).as_millis();
+    left.clamp(1, u128::from(u32::MAX)) as u32
+}
+
+/// Returns a duration in whole milliseconds.
+pub(crate) fn whole_ms(duration: Duration) -> u32 {
+    duration.as_millis().min(u128::from(u32::MAX)) as u32
+}
--- /dev/null
+++ b/crates/entry/src/dispatch.rs
@@ -0,0 +1,385 @@
+//! The way of a request through an entry: admission, tries, retries, hedges, handing over.
+
+use crate::{
+    EntryContext,
+    claims::ClaimLedger,
+    context::{left_ms, whole_ms},
+    lane::{AcquireError, ServiceLane},
+    once::OnceRunner,
+    roster::ServerRoster,
+    tries::{PreparedCall, TryEnd, TryRunner},
+};
+use async_trait::async_trait;
+use caller::{CallHandler, GuideAnswer, GuideEntry};
+use peer::{PeerAnswer, PeerError, PeerLink, PeerRequest};
+use platform::EventKind;
+use policy::{AdmissionGate, rank_entries, retry_after};
+use rand::Rng;
+use server::ServerTransport;
+use smallvec::SmallVec;
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Weak, atomic::Ordering},
+    time::{Duration, Instant},
+};
+use types::{
+    CallAnswer, CallOutcome, CallRequest, EntryName, HeaderField, ServerName, ServiceName,
+    ServiceSpec, header,
+};
+use uuid::Uuid;
+
+/// Tries of a request, the first included.
+pub(crate) const MAX_TRIES: usize = 3;
+/// Entries that the guide names for a service.
+const GUIDE_ENTRIES: usize = 3;
+/// Time after which a caller should ask again while an entry is closed.
+const CLOSED_RETRY_AFTER: Duration = Duration::from_millis(500);
+
+/// Where a request came from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum CallSource {
+    /// A caller.
+    Caller,
+    /// Another entry handed it over; it is not handed over again.
+    Entry,
+}
+
+/// A request on its way, with what is known about it.
+pub(crate) struct ActiveCall {
+    pub(crate) call: CallRequest,
+    /// The key that the caller gave. A key made by this entry is in `call` only.
+    pub(crate) stated_key: Option<Uuid>,
+    pub(crate) prepared: PreparedCall,
+    pub(crate) lane: Arc<ServiceLane>,
+    pub(crate) deadline: Instant,
+    pub(crate) source: CallSource,
+}
+
+/// What handing a request over came to.
+pub(crate) enum HandOverEnd {
+    /// The other entry's answer.
+    Answered(CallAnswer),
+    /// The request did not reach it.
+    NotReached,
+    /// It may have reached it.
+    Unknown(String),
+}
+
+/// Brings requests to servers.
+pub struct CallDispatcher {
+    pub(crate) context: Arc<EntryContext>,
+    pub(crate) roster: Arc<ServerRoster>,
+    pub(crate) runner: TryRunner,
+    link: Arc<dyn PeerLink>,
+    admission: AdmissionGate,
+    guide_max_age: Duration,
+    once: OnceRunner,
+    this: Weak<Self>,
+}
+
+impl CallDispatcher {
+    pub(crate) fn new(
+        context: Arc<EntryContext>,
+        roster: Arc<ServerRoster>,
+        transport: Arc<dyn ServerTransport>,
+        link: Arc<dyn PeerLink>,
+        ledger: Arc<dyn ClaimLedger>,
+        admission: AdmissionGate,
+        guide_max_age: Duration,
+    ) -> Arc<Self> {
+        let runner = TryRunner { context: context.clone(), transport };
+        let once = OnceRunner::new(runner.clone(), ledger);
+        Arc::new_cyclic(|this| Self {
+            context,
+            roster,
+            runner,
+            link,
+            admission,
+            guide_max_age,
+            once,
+            this: this.clone(),
+        })
+    }
+
+    /// Serves a request that another entry handed over.
+    pub(crate) async fn serve_handed_over(&self, call: CallRequest) -> CallAnswer {
+        self.serve(call, CallSource::Entry).await
+    }
+
+    async fn serve(&self, call: CallRequest, source: CallSource) -> CallAnswer {
+        let id = call.id;
+        let detail = format!("{} {} for {}", call.method, call.path, call.service);
+        self.context.record_call(EventKind::CallReceived, id, detail);
+        let answer = self.admit(call, source).await;
+        self.context.counters.calls.count(answer.outcome.as_str());
+        let detail = format!("{} {}", answer.status, answer.outcome);
+        self.context.record_call(EventKind::CallAnswered, id, detail);
+        answer
+    }
+
+    async fn admit(&self, mut call: CallRequest, source: CallSource) -> CallAnswer {
+        let view = self.context.view();
+        let Some(spec) = view.service(&call.service) else {
+            if !self.context.is_open() {
+                return self.refuse_closed(call.key);
+            }
+            let reason = format!("service: {} is not declared by any team", call.service);
+            return CallAnswer::refusal(404, CallOutcome::NotRun, &reason);
+        };
+        if !self.context.is_open() {
+            return self.refuse_closed(call.key);
+        }
+        let is_repeatable = spec.is_repeatable(&call.method, &call.path);
+        let stated_key = call.key;
+        if !is_repeatable {
+            call.key.get_or_insert_with(Uuid::now_v7);
+        }
+        let prepared = match PreparedCall::new(&call) {
+            Ok(prepared) => prepared,
+            Err(reason) => return CallAnswer::refusal(400, CallOutcome::NotRun, &reason),
+        };
+        let lane = self.roster.lanes.lane(&call.service);
+        let held_total = self.roster.lanes.held.load(Ordering::Relaxed);
+        if !self.admission.admits(spec.priority, held_total, lane.held()) {
+            self.context.counters.calls.count("shed");
+            return self.refuse_busy(stated_key, Duration::ZERO);
+        }
+        let _held = lane.hold(&self.roster.lanes.held);
+        lane.note_request(spec);
+        let deadline = Instant::now() + allowed_time(&call, spec);
+        let active = ActiveCall { call, stated_key, prepared, lane, deadline, source };
+        if is_repeatable {
+            self.run_repeatable(&active).await
+        } else {
+            self.run_detached(active).await
+        }
+    }
+
+    /// Runs a request that may not be repeated to its end, even if its caller goes away.
+    async fn run_detached(&self, active: ActiveCall) -> CallAnswer {
+        let failed = || CallAnswer::refusal(500, CallOutcome::Unknown, "the entry failed");
+        let Some(dispatcher) = self.this.upgrade() else {
+            return failed();
+        };
+        let task = tokio::spawn(async move { dispatcher.once.run(&dispatcher, active).await });
+        task.await.unwrap_or_else(|_| failed())
+    }
+
+    async fn run_repeatable(&self, active: &ActiveCall) -> CallAnswer {
+        if let Some(answer) = self.warm_up(active).await {
+            return answer;
+        }
+        let mut excluded: SmallVec<[ServerName; 2]> = SmallVec::new();
+        let mut last = TryEnd::NotRun("no try yet".to_owned());
+        for number in 0..MAX_TRIES {
+            if number > 0 && !self.may_retry(active, &last) {
+                break;
+            }
+            let prefers_cold = active.source == CallSource::Entry;
+            let acquired = active.lane.acquire(&excluded, prefers_cold, active.deadline).await;
+            let permit = match acquired {
+                Ok(permit) => permit,
+                Err(AcquireError::NoneEligible(stewards)) => {
+                    return self.run_elsewhere(active, stewards, last).await;
+                }
+                Err(AcquireError::TooBusy(wait)) => return self.refuse_busy(None, wait),
+            };
+            excluded.push(permit.server.name.clone());
+            last = self.run_hedged(active, permit, &excluded).await;
+            if let TryEnd::Answered(answer) = last {
+                return answer;
+            }
+            let detail = format!("{last:?}");
+            self.context.record_call(EventKind::CallRetried, active.call.id, detail);
+        }
+        self.give_up(last)
+    }
+
+    /// Runs one try, and a second one elsewhere if the first is late and the budget has one.
+    async fn run_hedged(
+        &self,
+        active: &ActiveCall,
+        permit: crate::lane::ServerPermit,
+        excluded: &[ServerName],
+    ) -> TryEnd {
+        let first = self.runner.run(&active.call, &active.prepared, permit, active.deadline);
+        tokio::pin!(first);
+        let Some(delay) = active.lane.hedge_delay() else {
+            return first.await;
+        };
+        tokio::select! {
+            end = &mut first => return end,
+            () = tokio::time::sleep(delay) => {}
+        }
+        if !active.lane.take_hedge() {
+            return first.await;
+        }
+        let Some(permit) = active.lane.try_acquire(excluded) else {
+            return first.await;
+        };
+        self.context.counters.calls.count("hedged");
+        let detail = format!("to {}", permit.server.name);
+        self.context.record_call(EventKind::CallHedged, active.call.id, detail);
+        let second = self.runner.run(&active.call, &active.prepared, permit, active.deadline);
+        tokio::pin!(second);
+        // The try that loses is dropped, which cancels it at its server.
+        tokio::select! {
+            end = &mut first => match end {
+                TryEnd::Answered(_) => end,
+                _ => second.await,
+            },
+            end = &mut second => match end {
+                TryEnd::Answered(_) => end,
+                _ => first.await,
+            },
+        }
+    }
+
+    fn may_retry(&self, active: &ActiveCall, last: &TryEnd) -> bool {
+        if Instant::now() >= active.deadline {
+            return false;
+        }
+        match last {
+            TryEnd::Closed | TryEnd::Late | TryEnd::Answered(_) => false,
+            TryEnd::NotRun(_) | TryEnd::Unknown(_) => {
+                let is_granted = active.lane.take_retry();
+                let counted = if is_granted { "retried" } else { "retry-refused" };
+                self.context.counters.calls.count(counted);
+                is_granted
+            }
+        }
+    }
+
+    /// Gives a steward's cold servers a share of the work, so that they warm up.
+    async fn warm_up(&self, active: &ActiveCall) -> Option<CallAnswer> {
+        if active.source == CallSource::Entry {
+            return None;
+        }
+        let steward = active.lane.take_warm_up()?;
+        match self.hand_over(active, &steward).await {
+            HandOverEnd::Answered(answer) if answer.outcome == CallOutcome::Ran => Some(answer),
+            _ => None,
+        }
+    }
+
+    /// Runs a repeatable request at an entry that may give servers work which this one may not.
+    async fn run_elsewhere(
+        &self,
+        active: &ActiveCall,
+        stewards: SmallVec<[EntryName; 2]>,
+        last: TryEnd,
+    ) -> CallAnswer {
+        if active.source == CallSource::Caller {
+            for steward in stewards {
+                if let HandOverEnd::Answered(answer) = self.hand_over(active, &steward).await {
+                    return answer;
+                }
+            }
+        }
+        match last {
+            TryEnd::NotRun(_) => self.refuse_busy(None, CLOSED_RETRY_AFTER),
+            last => self.give_up(last),
+        }
+    }
+
+    /// Hands a request over to another entry.
+    pub(crate) async fn hand_over(&self, active: &ActiveCall, to: &EntryName) -> HandOverEnd {
+        let Some(target) = self.roster.entry_target(to) else {
+            return HandOverEnd::NotReached;
+        };
+        // Handing over is starting work: it needs a fresh view like any other.
+        if !self.context.is_open() {
+            return HandOverEnd::NotReached;
+        }
+        self.context.counters.calls.count("handed-over");
+        self.context.record_call(EventKind::CallHandedOver, active.call.id, format!("to {to}"));
+        let deadline_ms = left_ms(active.deadline);
+        let call = CallRequest { deadline_ms, ..active.call.clone() };
+        let timeout = Duration::from_millis(u64::from(deadline_ms));
+        match self.link.call(&target, PeerRequest::HandOver(call), timeout).await {
+            Ok(PeerAnswer::HandOver(answer)) => HandOverEnd::Answered(*answer),
+            Ok(_) | Err(PeerError::NotReached { .. }) => HandOverEnd::NotReached,
+            Err(error) => HandOverEnd::Unknown(error.to_string()),
+        }
+    }
+
+    fn give_up(&self, last: TryEnd) -> CallAnswer {
+        match last {
+            TryEnd::Answered(answer) => answer,
+            TryEnd::Closed => self.refuse_closed(None),
+            TryEnd::NotRun(reason) => CallAnswer::refusal(503, CallOutcome::NotRun, &reason)
+                .with_retry_after(self.retry_after_ms(Duration::ZERO)),
+            TryEnd::Unknown(reason) => CallAnswer::refusal(502, CallOutcome::Unknown, &reason)
+                .with_retry_after(self.retry_after_ms(Duration::ZERO)),
+            TryEnd::Late => {
+                CallAnswer::refusal(504, CallOutcome::Unknown, "no answer by the deadline")
+                    .with_retry_after(self.retry_after_ms(Duration::ZERO))
+            }
+        }
+    }
+
+    /// Refuses a request because this entry cannot confirm its view.
+    pub(crate) fn refuse_closed(&self, key: Option<Uuid>) -> CallAnswer {
+        self.context.counters.calls.count("closed");
+        let reason = "this entry cannot confirm its configuration; use another one";
+        CallAnswer::refusal(503, unseen_outcome(key), reason)
+            .with_retry_after(self.retry_after_ms(CLOSED_RETRY_AFTER))
+    }
+
+    /// Refuses a request for want of servers with room.
+    pub(crate) fn refuse_busy(&self, key: Option<Uuid>, wait: Duration) -> CallAnswer {
+        self.context.counters.calls.count("busy");
+        CallAnswer::refusal(503, unseen_outcome(key), "no server has room")
+            .with_retry_after(self.retry_after_ms(wait))
+    }
+
+    pub(crate) fn retry_after_ms(&self, wait: Duration) -> u32 {
+        let spread = self.context.with_rng(|rng| rng.random::<f64>());
+        whole_ms(retry_after(wait, spread))
+    }
+}
+
+#[async_trait]
+impl CallHandler for CallDispatcher {
+    async fn call(&self, request: CallRequest) -> CallAnswer {
+        self.serve(request, CallSource::Caller).await
+    }
+
+    fn guide(&self, service: &ServiceName) -> GuideAnswer {
+        let view = self.context.view();
+        let entries = rank_entries(&view, service, GUIDE_ENTRIES)
+            .into_iter()
+            .map(|entry| GuideEntry { name: entry.name.clone(), address: entry.caller_address })
+            .collect();
+        GuideAnswer { entries, max_age_s: self.guide_max_age.as_secs() }
+    }
+
+    fn other_entries(&self, service: &ServiceName) -> Vec<SocketAddr> {
+        let (view, name) = (self.context.view(), self.context.name());
+        rank_entries(&view, service, GUIDE_ENTRIES + 1)
+            .into_iter()
+            .filter(|entry| entry.name != name)
+            .map(|entry| entry.caller_address)
+            .collect()
+    }
+}
+
+/// Returns what may be said of a request that this entry never looked up: a request with the
+/// caller's own key may have run when it was sent before.
+pub(crate) fn unseen_outcome(key: Option<Uuid>) -> CallOutcome {
+    if key.is_some() { CallOutcome::Unknown } else { CallOutcome::NotRun }
+}
+
+/// Returns an answer with the key of its request.
+pub(crate) fn with_key(mut answer: CallAnswer, key: Uuid) -> CallAnswer {
+    answer.headers.push(HeaderField {
+        name: header::IDEMPOTENCY_KEY.to_owned(),
+        value: key.to_string().into_bytes(),
+    });
+    answer
+}
+
+fn allowed_time(call: &CallRequest, spec: &ServiceSpec) -> Duration {
+    let ms = if call.deadline_ms == 0 { spec.timeout_ms } else { call.deadline_ms };
+    Duration::from_millis(u64::from(ms))
+}
--- /dev/null
+++ b/crates/entry/src/leader.rs
@@ -0,0 +1,173 @@
+//! Finds the leader of the replicas and follows it as it changes.
+
+use consensus::MembershipChange;
+use futures_util::{StreamExt, stream::FuturesUnordered};
+use parking_lot::Mutex;
+use peer::{PeerAnswer, PeerError, PeerLink, PeerRequest, PeerTarget, SubmitAnswer};
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+use types::{Command, CommandAnswer, HostName};
+
+/// Time allowed for one request to the leader.
+const CALL_TIMEOUT: Duration = Duration::from_millis(700);
+/// Pause before the replicas are asked again.
+const RETRY_PAUSE: Duration = Duration::from_millis(20);
+
+#[derive(Debug)]
+struct ReplicaTargets {
+    known: Vec<PeerTarget>,
+    leader: Option<PeerTarget>,
+}
+
+/// What became of a command by its deadline.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum SubmitResult {
+    /// Committed and applied.
+    Applied(CommandAnswer),
+    /// Refused by the leader; not taken.
+    Refused(String),
+    /// It may or may not come into force.
+    Unknown,
+}
+
+/// Sends requests to whichever replica leads.
+pub struct LeaderFinder {
+    link: Arc<dyn PeerLink>,
+    targets: Mutex<ReplicaTargets>,
+}
+
+impl LeaderFinder {
+    /// Starts with the replicas of the settings.
+    pub fn new(link: Arc<dyn PeerLink>, known: Vec<PeerTarget>) -> Self {
+        Self { link, targets: Mutex::new(ReplicaTargets { known, leader: None }) }
+    }
+
+    /// Takes over the replicas that a leader names.
+    pub fn learn(&self, replicas: &[(HostName, SocketAddr)]) {
+        if replicas.is_empty() {
+            return;
+        }
+        let known = replicas
+            .iter()
+            .map(|(host, address)| PeerTarget { host: host.clone(), address: *address })
+            .collect();
+        self.targets.lock().known = known;
+    }
+
+    /// Asks the leader, or all replicas at once while it is unknown. `accept` says whether an
+    /// answer comes from the leader; other answers only point to it.
+    pub async fn ask(
+        &self,
+        request: &PeerRequest,
+        timeout: Duration,
+        accept: impl Fn(&PeerAnswer) -> LeaderAnswer,
+    ) -> Option<PeerAnswer> {
+        if let Some(leader) = self.leader() {
+            let answer = self.link.call(&leader, request.clone(), timeout).await;
+            if let Some(answer) = self.judge(&leader, answer, &accept) {
+                return Some(answer);
+            }
+        }
+        let targets = self.targets.lock().known.clone();
+        let mut asked: FuturesUnordered<_> = targets
+            .into_iter()
+            .map(|target| async move {
+                let answer = self.link.call(&target, request.clone(), timeout).await;
+                (target, answer)
+            })
+            .collect();
+        while let Some((target, answer)) = asked.next().await {
+            if let Some(answer) = self.judge(&target, answer, &accept) {
+                return Some(answer);
+            }
+        }
+        None
+    }
+
+    /// Asks for a change of the set of replicas until a leader takes or refuses it.
+    pub async fn change_membership(
+        &self,
+        change: MembershipChange,
+        deadline: Instant,
+    ) -> SubmitResult {
+        self.submit_request(&PeerRequest::ChangeMembership(change), deadline).await
+    }
+
+    /// Submits a command until its fate is known or the deadline passes. The command must be one
+    /// that may be decided twice without harm.
+    pub async fn submit(&self, command: Command, deadline: Instant) -> SubmitResult {
+        self.submit_request(&PeerRequest::Submit(command), deadline).await
+    }
+
+    async fn submit_request(&self, request: &PeerRequest, deadline: Instant) -> SubmitResult {
+        let is_from_leader = |answer: &PeerAnswer| match answer {
+            PeerAnswer::Submit(SubmitAnswer::NotLeader(hint)) => LeaderAnswer::Elsewhere(*hint),
+            PeerAnswer::Submit(SubmitAnswer::Unknown) => LeaderAnswer::Elsewhere(None),
+            _ => LeaderAnswer::Here,
+        };
+        loop {
+            let left = deadline.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return SubmitResult::Unknown;
+            }
+            match self.ask(request, left.min(CALL_TIMEOUT), is_from_leader).await {
+                Some(PeerAnswer::Submit(SubmitAnswer::Applied(answer))) => {
+                    return SubmitResult::Applied(answer);
+                }
+                Some(PeerAnswer::Submit(SubmitAnswer::Accepted)) => {
+                    return SubmitResult::Applied(CommandAnswer::Done);
+                }
+                Some(PeerAnswer::Submit(SubmitAnswer::Refused(reason)))
+                | Some(PeerAnswer::Refused(reason)) => return SubmitResult::Refused(reason),
+                _ => tokio::time::sleep(RETRY_PAUSE.min(left)).await,
+            }
+        }
+    }
+
+    /// Returns the leader, as far as known.
+    pub fn leader(&self) -> Option<PeerTarget> {
+        self.targets.lock().leader.clone()
+    }
+
+    fn judge(
+        &self,
+        target: &PeerTarget,
+        answer: Result<PeerAnswer, PeerError>,
+        accept: impl Fn(&PeerAnswer) -> LeaderAnswer,
+    ) -> Option<PeerAnswer> {
+        let mut targets = self.targets.lock();
+        let verdict = answer.as_ref().ok().map(accept);
+        match (verdict, answer) {
+            (Some(LeaderAnswer::Here), Ok(answer)) => {
+                targets.leader = Some(target.clone());
+                Some(answer)
+            }
+            (Some(LeaderAnswer::Elsewhere(hint)), _) => {
+                let hinted = targets.known.iter().find(|known| Some(known.address) == hint);
+                let hinted = hinted.cloned();
+                if hinted.is_some() || targets.leader.as_ref() == Some(target) {
+                    targets.leader = hinted;
+                }
+                None
+            }
+            _ => {
+                if targets.leader.as_ref() == Some(target) {
+                    targets.leader = None;
+                }
+                None
+            }
+        }
+    }
+}
+
+/// Whether an answer comes from the leader.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LeaderAnswer {
+    /// It does.
+    Here,
+    /// It does not; the leader may be at this address.
+    Elsewhere(Option<SocketAddr>),
+}
--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,21 @@
+//! The entry: takes requests of callers and brings each to a server.
+//!
+//! Decisions live in `policy`; this package wires them to links, connections and timers.
+
+mod claims;
+mod context;
+mod dispatch;
+mod freshness;
+mod lane;
+mod leader;
+mod node;
+mod once;
+mod roster;
+mod steward;
+mod tries;
+
+pub use claims::{ClaimError, ClaimLedger, ReplicatedLedger};
+pub use context::{EntryContext, EntryCounters};
+pub use dispatch::CallDispatcher;
+pub use leader::{LeaderAnswer, LeaderFinder, SubmitResult};
+pub use node::{EntryError, EntryNode, EntrySettings};
--- /dev/null
+++ b/crates/entry/src/steward.rs
@@ -0,0 +1,124 @@
+//! This entry's part as a steward: the servers in its ranges.
+
+use crate::EntryContext;
+use parking_lot::Mutex;
+use policy::{AnnounceOutcome, ServerBook};
+use std::{
+    collections::BTreeMap,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+use types::{
+    Announcement, BookDelta, BookRequest, ClusterView, FRESHNESS_LIMIT, RangeIndex,
+    ServerIncarnation, ServerName, ServerRecord, ServerStage, ServiceName, StewardBeat,
+    SuspectReport, server_range,
+};
+
+/// A range that this entry looks after.
+#[derive(Debug, Clone, Copy)]
+struct OwnRange {
+    acquired: Instant,
+    /// No steward before this one can have given work to cold servers.
+    is_first: bool,
+}
+
+/// The book of this entry and the ranges that it covers.
+pub(crate) struct StewardDesk {
+    context: Arc<EntryContext>,
+    book: Mutex<ServerBook>,
+    ranges: Mutex<BTreeMap<RangeIndex, OwnRange>>,
+}
+
+impl StewardDesk {
+    pub(crate) fn new(context: Arc<EntryContext>) -> Self {
+        let book = Mutex::new(ServerBook::new(context.steward_id()));
+        Self { context, book, ranges: Mutex::default() }
+    }
+
+    /// Takes new ranges over, with the servers that their former stewards told of, and drops those
+    /// that went to others.
+    pub(crate) fn view_changed(
+        &self,
+        view: &ClusterView,
+        known: &BTreeMap<&ServerName, &ServerRecord>,
+    ) {
+        let (name, now) = (self.context.name(), Instant::now());
+        let mut ranges = self.ranges.lock();
+        let mut gained = Vec::new();
+        let mut current = BTreeMap::new();
+        for (range, lease) in view.ranges_of(&name) {
+            let own = ranges.get(&range).copied().unwrap_or_else(|| {
+                gained.push(range);
+                OwnRange { acquired: now, is_first: lease.is_first }
+            });
+            current.insert(range, own);
+        }
+        *ranges = current;
+        let mut book = self.book.lock();
+        book.retain(|server| ranges.contains_key(&server_range(server)));
+        for (server, record) in known {
+            if gained.contains(&server_range(server)) {
+                book.adopt(record, now);
+            }
+        }
+    }
+
+    /// Takes an announcement in.
+    pub(crate) fn announce(
+        &self,
+        announcement: &Announcement,
+        known: Option<&ServerRecord>,
+    ) -> AnnounceOutcome {
+        let known_stage = known
+            .filter(|record| record.announcement.incarnation == announcement.incarnation)
+            .filter(|record| record.stage == ServerStage::Warm)
+            .map(|record| record.stage);
+        self.book.lock().announce(announcement, known_stage, Instant::now())
+    }
+
+    /// Marks a server as warm. Returns whether that is news.
+    pub(crate) fn mark_warm(&self, server: &ServerName, incarnation: ServerIncarnation) -> bool {
+        self.book.lock().mark_warm(server, incarnation)
+    }
+
+    /// Takes a suspicion in. Returns whether it changed anything.
+    pub(crate) fn suspect(&self, report: &SuspectReport) -> bool {
+        self.book.lock().suspect(report)
+    }
+
+    /// Removes the servers whose announcements have run out, and returns them.
+    pub(crate) fn expire(&self) -> Vec<ServerName> {
+        self.book.lock().expire(Instant::now())
+    }
+
+    pub(crate) fn beat(&self) -> StewardBeat {
+        let book = self.book.lock();
+        StewardBeat { steward: book.steward().clone(), version: book.version() }
+    }
+
+    pub(crate) fn delta(&self, request: &BookRequest) -> BookDelta {
+        self.book.lock().delta(request)
+    }
+
+    /// Says whether this entry may give a cold server work: a former steward may still have
+    /// requests of its own running there until its view and their deadlines have run out.
+    pub(crate) fn may_warm(&self, server: &ServerName, timeout: Duration) -> bool {
+        let ranges = self.ranges.lock();
+        ranges.get(&server_range(server)).is_some_and(|range| {
+            range.is_first || range.acquired.elapsed() >= FRESHNESS_LIMIT + timeout
+        })
+    }
+
+    /// Returns the services with cold servers in this book.
+    pub(crate) fn cold_services(&self) -> Vec<ServiceName> {
+        let book = self.book.lock();
+        let mut services: Vec<ServiceName> = book
+            .records()
+            .filter(|record| record.stage == ServerStage::Cold)
+            .map(|record| record.announcement.service.clone())
+            .collect();
+        services.sort();
+        services.dedup();
+        services
+    }
+}
--- /dev/null
+++ b/crates/peer/src/keys.rs
@@ -0,0 +1,190 @@
+//! Key files: one authority for hosts, one for operators, and a key and certificate for each.
+
+use rcgen::{
+    BasicConstraints, CertificateParams, DistinguishedName, DnType, ExtendedKeyUsagePurpose, IsCa,
+    Issuer, KeyPair, KeyUsagePurpose,
+};
+use std::{
+    fs, io,
+    path::{Path, PathBuf},
+};
+use thiserror::Error;
+use time::{Duration, OffsetDateTime};
+
+/// Host authority, host certificate and key, and operator authority: file names in a key folder.
+const HOST_AUTHORITY: &str = "host-authority.pem";
+const HOST_AUTHORITY_KEY: &str = "host-authority.key";
+const OPERATOR_AUTHORITY: &str = "operator-authority.pem";
+const OPERATOR_AUTHORITY_KEY: &str = "operator-authority.key";
+const CERTIFICATE: &str = "certificate.pem";
+const PRIVATE_KEY: &str = "private.key";
+
+/// How long an authority is valid, in days.
+const AUTHORITY_DAYS: i64 = 3650;
+
+/// Says what is wrong with keys.
+#[derive(Debug, Error)]
+pub enum KeyError {
+    /// A file cannot be read or written.
+    #[error("{path}: {source}")]
+    File {
+        /// The file.
+        path: PathBuf,
+        /// The system's error.
+        source: io::Error,
+    },
+    /// A file holds no usable key or certificate.
+    #[error("{path}: {reason}")]
+    Content {
+        /// The file.
+        path: PathBuf,
+        /// The reason.
+        reason: String,
+    },
+    /// A key or certificate could not be made.
+    #[error("cannot make a certificate: {0}")]
+    Forge(#[from] rcgen::Error),
+}
+
+/// The files that one process or operator needs.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct KeyFiles {
+    /// Certificate of the host authority.
+    pub host_authority: PathBuf,
+    /// Certificate of the operator authority.
+    pub operator_authority: PathBuf,
+    /// Own certificate.
+    pub certificate: PathBuf,
+    /// Own private key.
+    pub private_key: PathBuf,
+}
+
+impl KeyFiles {
+    /// Returns the files of a key folder.
+    pub fn in_folder(folder: &Path) -> Self {
+        Self {
+            host_authority: folder.join(HOST_AUTHORITY),
+            operator_authority: folder.join(OPERATOR_AUTHORITY),
+            certificate: folder.join(CERTIFICATE),
+            private_key: folder.join(PRIVATE_KEY),
+        }
+    }
+}
+
+/// Makes keys. The authorities' private keys stay in the operators' folder.
+#[derive(Debug)]
+pub struct KeyForge {
+    folder: PathBuf,
+}
+
+impl KeyForge {
+    /// Opens the operators' folder; makes the two authorities if there are none.
+    pub fn open(folder: &Path) -> Result<Self, KeyError> {
+        create_folder(folder)?;
+        let forge = Self { folder: folder.to_owned() };
+        forge.ensure_authority(HOST_AUTHORITY, HOST_AUTHORITY_KEY, "hawthornhill hosts")?;
+        forge.ensure_authority(
+            OPERATOR_AUTHORITY,
+            OPERATOR_AUTHORITY_KEY,
+            "hawthornhill operators",
+        )?;
+        Ok(forge)
+    }
+
+    /// Makes the key folder of a host, valid from now for a number of days.
+    pub fn issue_host(&self, host: &str, days: i64, target: &Path) -> Result<(), KeyError> {
+        let mut params = leaf_params(host, days)?;
+        params.extended_key_usages =
+            vec![ExtendedKeyUsagePurpose::ServerAuth, ExtendedKeyUsagePurpose::ClientAuth];
+        self.issue(params, HOST_AUTHORITY, HOST_AUTHORITY_KEY, target)
+    }
+
+    /// Makes the key folder of an operator, valid from now for a number of days.
+    pub fn issue_operator(&self, name: &str, days: i64, target: &Path) -> Result<(), KeyError> {
+        let mut params = leaf_params(name, days)?;
+        params.extended_key_usages = vec![ExtendedKeyUsagePurpose::ClientAuth];
+        self.issue(params, OPERATOR_AUTHORITY, OPERATOR_AUTHORITY_KEY, target)
+    }
+
+    fn ensure_authority(&self, certificate: &str, key: &str, name: &str) -> Result<(), KeyError> {
+        let (certificate_path, key_path) = (self.folder.join(certificate), self.folder.join(key));
+        if certificate_path.exists() && key_path.exists() {
+            return Ok(());
+        }
+        let pair = KeyPair::generate()?;
+        let mut params = CertificateParams::default();
+        params.is_ca = IsCa::Ca(BasicConstraints::Constrained(0));
+        params.key_usages = vec![KeyUsagePurpose::KeyCertSign, KeyUsagePurpose::CrlSign];
+        params.distinguished_name = distinguished_name(name);
+        set_validity(&mut params, AUTHORITY_DAYS);
+        let made = params.self_signed(&pair)?;
+        write_secret(&key_path, &pair.serialize_pem())?;
+        write_file(&certificate_path, &made.pem())
+    }
+
+    fn issue(
+        &self,
+        params: CertificateParams,
+        authority: &str,
+        authority_key: &str,
+        target: &Path,
+    ) -> Result<(), KeyError> {
+        let authority_pem = read_file(&self.folder.join(authority))?;
+        let key_path = self.folder.join(authority_key);
+        let authority_pair = KeyPair::from_pem(&read_file(&key_path)?)?;
+        let issuer = Issuer::from_ca_cert_pem(&authority_pem, &authority_pair)?;
+        let pair = KeyPair::generate()?;
+        let made = params.signed_by(&pair, &issuer)?;
+        create_folder(target)?;
+        let files = KeyFiles::in_folder(target);
+        write_secret(&files.private_key, &pair.serialize_pem())?;
+        write_file(&files.certificate, &made.pem())?;
+        let copy = |name: &str, to: &Path| write_file(to, &read_file(&self.folder.join(name))?);
+        copy(HOST_AUTHORITY, &files.host_authority)?;
+        copy(OPERATOR_AUTHORITY, &files.operator_authority)
+    }
+}
+
+fn leaf_params(name: &str, days: i64) -> Result<CertificateParams, KeyError> {
+    let mut params = CertificateParams::new(vec![name.to_owned()])?;
+    params.distinguished_name = distinguished_name(name);
+    set_validity(&mut params, days);
+    Ok(params)
+}
+
+fn distinguished_name(name: &str) -> DistinguishedName {
+    let mut distinguished = DistinguishedName::new();
+    distinguished.push(DnType::CommonName, name);
+    distinguished
+}
+
+fn set_validity(params: &mut CertificateParams, days: i64) {
+    let now = OffsetDateTime::now_utc();
+    params.not_before = now - Duration::days(1).min(Duration::days(days.abs() + 1));
+    params.not_after = now + Duration::days(days);
+}
+
+fn file_error(path: &Path) -> impl FnOnce(io::Error) -> KeyError + '_ {
+    |source| KeyError::File { path: path.to_owned(), source }
+}
+
+fn create_folder(path: &Path) -> Result<(), KeyError> {
+    fs::create_dir_all(path).map_err(file_error(path))
+}
+
+fn read_file(path: &Path) -> Result<String, KeyError> {
+    fs::read_to_string(path).map_err(file_error(path))
+}
+
+fn write_file(path: &Path, text: &str) -> Result<(), KeyError> {
+    fs::write(path, text).map_err(file_error(path))
+}
+
+/// Writes a file that only its owner may read.
+fn write_secret(path: &Path, text: &str) -> Result<(), KeyError> {
+    use std::{io::Write, os::unix::fs::OpenOptionsExt};
+    let mut options = fs::OpenOptions::new();
+    let options = options.write(true).create(true).truncate(true).mode(0o600);
+    let mut file = options.open(path).map_err(file_error(path))?;
+    file.write_all(text.as_bytes()).map_err(file_error(path))
+}
--- /dev/null
+++ b/crates/peer/src/lib.rs
@@ -0,0 +1,23 @@
+//! Links between the system's own processes: QUIC with mutual TLS, typed messages.
+//!
+//! Parts use the [`PeerLink`] and [`PeerHandler`] traits, so that tests can cut a link without a
+//! network.
+
+mod error;
+mod frame;
+mod keys;
+mod link;
+mod message;
+mod node;
+mod tls;
+
+pub use error::PeerError;
+pub use frame::{MAX_FRAME_BYTES, decode_frame, encode_frame};
+pub use keys::{KeyError, KeyFiles, KeyForge};
+pub use link::{PeerHandler, PeerLink, PeerTarget};
+pub use message::{
+    ConsensusMessage, FreshnessAnswer, FreshnessGrant, FreshnessRequest, PeerAnswer, PeerRequest,
+    SubmitAnswer,
+};
+pub use node::PeerNode;
+pub use tls::{TlsMaterial, operator_client_config, operator_server_config};
--- /dev/null
+++ b/crates/peer/src/message.rs
@@ -0,0 +1,104 @@
+//! Messages between processes.
+
+use consensus::{Envelope, MembershipChange};
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+use types::{
+    Announcement, BookDelta, BookRequest, CallAnswer, CallRequest, Command, CommandAnswer,
+    EntryInfo, HostName, StewardBeat, SuspectReport, ViewUpdate, ViewVersion,
+};
+
+/// A request, or a message without answer.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum PeerRequest {
+    /// Between replicas; has no answer.
+    Consensus(ConsensusMessage),
+    /// An entry asks the leader how fresh its view is.
+    Freshness(FreshnessRequest),
+    /// Asks the leader to decide a command.
+    Submit(Command),
+    /// Asks the leader to change the set of replicas.
+    ChangeMembership(MembershipChange),
+    /// A steward shows that it is alive; has no answer.
+    Beat(StewardBeat),
+    /// Asks a steward for changes of its book.
+    Book(BookRequest),
+    /// Passes an announcement on to the server's steward.
+    Announce(Announcement),
+    /// Tells a steward about a suspected server; has no answer.
+    Suspect(SuspectReport),
+    /// Hands a request over to another entry.
+    HandOver(CallRequest),
+}
+
+/// A message between replicas, with where its sender can be answered.
+///
+/// A learner that has no log yet knows its leader from this alone.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct ConsensusMessage {
+    /// The message.
+    pub envelope: Envelope,
+    /// Host of the sender.
+    pub host: HostName,
+    /// Address of the sender.
+    pub address: SocketAddr,
+}
+
+/// The answer to a request.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum PeerAnswer {
+    /// Nothing to say.
+    Done,
+    /// To a freshness request.
+    Freshness(Box<FreshnessAnswer>),
+    /// To a command or a change of the set of replicas.
+    Submit(SubmitAnswer),
+    /// To a book request.
+    Book(BookDelta),
+    /// To a handed-over request.
+    HandOver(Box<CallAnswer>),
+    /// The request is not for this process, or not allowed for the sender.
+    Refused(String),
+}
+
+/// An entry's request to confirm its view.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct FreshnessRequest {
+    /// The entry; registered with this if it is new.
+    pub entry: EntryInfo,
+    /// The version of its view.
+    pub version: ViewVersion,
+}
+
+/// The answer to a freshness request.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum FreshnessAnswer {
+    /// The view, once updated, is fresh as of the time at which the request was sent.
+    Granted(FreshnessGrant),
+    /// The asked replica does not lead.
+    NotLeader(Option<SocketAddr>),
+}
+
+/// A leader's confirmation after a quorum round.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct FreshnessGrant {
+    /// What the entry lacks.
+    pub update: ViewUpdate,
+    /// All replicas, for the next requests.
+    pub replicas: Vec<(HostName, SocketAddr)>,
+}
+
+/// The answer to a command.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum SubmitAnswer {
+    /// Committed and applied.
+    Applied(CommandAnswer),
+    /// The change of the set of replicas is in the log.
+    Accepted,
+    /// The asked replica does not lead; the command was not taken.
+    NotLeader(Option<SocketAddr>),
+    /// The command was not taken.
+    Refused(String),
+    /// The command may or may not come into force.
+    Unknown,
+}
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,15 @@
+//! What a process needs from its platform: settings, clock and timers, logs, metrics, and the time
+//! line of events.
+
+mod logging;
+mod metrics;
+mod settings;
+mod timeline;
+mod timer;
+
+pub use logging::{LogFormat, root_logger};
+pub use metrics::{DecisionCounters, MetricsRegistry};
+pub use settings::{ProcessRole, ProcessSettings, ReplicaAddress, SettingsError};
+pub use slog::Logger;
+pub use timeline::{EventKind, EventRecord, EventTags, EventTimeline, HybridTime, TimelineFilter};
+pub use timer::{TimerService, TimerSubscription, wall_clock_ms};
--- /dev/null
+++ b/crates/platform/src/logging.rs
@@ -0,0 +1,31 @@
+//! Structured logs on standard error, as terminal lines or JSON.
+
+use serde::{Deserialize, Serialize};
+use slog::{Drain, Logger, o};
+
+/// The form of log lines.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum LogFormat {
+    /// For people.
+    #[default]
+    Terminal,
+    /// One JSON object a line.
+    Json,
+}
+
+/// Returns the logger that all parts of the process derive theirs from.
+pub fn root_logger(format: LogFormat, process: &str) -> Logger {
+    let drain = match format {
+        LogFormat::Terminal => {
+            let decorator = slog_term::PlainDecorator::new(std::io::stderr());
+            let drain = slog_term::FullFormat::new(decorator).build().fuse();
+            slog_async::Async::new(drain).build().fuse()
+        }
+        LogFormat::Json => {
+            let drain = slog_json::Json::default(std::io::stderr()).fuse();
+            slog_async::Async::new(drain).build().fuse()
+        }
+    };
+    Logger::root(drain, o!("process" => process.to_owned()))
+}
--- /dev/null
+++ b/crates/platform/src/metrics.rs
@@ -0,0 +1,66 @@
+//! Counters in the Prometheus text format.
+
+use parking_lot::Mutex;
+use prometheus_client::{
+    encoding::text::encode,
+    metrics::{counter::Counter, family::Family, gauge::Gauge},
+    registry::Registry,
+};
+use std::sync::Arc;
+
+type DecisionLabels = [(&'static str, &'static str); 1];
+
+/// Counters of the decisions of one part, one for each decision.
+#[derive(Debug, Clone, Default)]
+pub struct DecisionCounters {
+    family: Family<DecisionLabels, Counter>,
+}
+
+impl DecisionCounters {
+    /// Counts one decision.
+    pub fn count(&self, decision: &'static str) {
+        self.family.get_or_create(&[("decision", decision)]).inc();
+    }
+
+    /// Returns how often a decision was taken.
+    pub fn get(&self, decision: &'static str) -> u64 {
+        self.family.get_or_create(&[("decision", decision)]).get()
+    }
+}
+
+/// All metrics of a process.
+#[derive(Debug, Clone)]
+pub struct MetricsRegistry {
+    registry: Arc<Mutex<Registry>>,
+}
+
+impl Default for MetricsRegistry {
+    fn default() -> Self {
+        Self { registry: Arc::new(Mutex::new(Registry::with_prefix("hawthornhill"))) }
+    }
+}
+
+impl MetricsRegistry {
+    /// Registers the counters of one part.
+    pub fn decisions(&self, name: &str, help: &str) -> DecisionCounters {
+        let counters = DecisionCounters::default();
+        self.registry.lock().register(name, help, counters.family.clone());
+        counters
+    }
+
+    /// Registers a gauge.
+    pub fn gauge(&self, name: &str, help: &str) -> Gauge {
+        let gauge = Gauge::default();
+        self.registry.lock().register(name, help, gauge.clone());
+        gauge
+    }
+
+    /// Returns the metrics page.
+    pub fn page(&self) -> String {
+        let mut text = String::new();
+        match encode(&mut text, &self.registry.lock()) {
+            Ok(()) => text,
+            Err(_) => String::new(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/selection.rs
@@ -0,0 +1,104 @@
+//! Choice of a server among those that may take a request.
+
+use rand::{Rng, RngCore};
+use smallvec::SmallVec;
+use std::time::Duration;
+
+/// What an entry knows of one server's load.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct CandidateLoad {
+    /// This entry's requests in flight there.
+    pub in_flight: u32,
+    /// The most that this entry may have in flight there.
+    pub limit: u32,
+    /// Mean latency seen by this entry; zero if none yet.
+    pub latency: Duration,
+    /// The server's latest load report and its age.
+    pub report: Option<(u32, Duration)>,
+}
+
+impl CandidateLoad {
+    fn has_room(&self) -> bool {
+        self.in_flight < self.limit
+    }
+}
+
+/// Picks a server.
+pub trait ServerSelector: Send + Sync {
+    /// Returns the index of a candidate with room, `None` if there is none.
+    fn pick(&self, candidates: &[CandidateLoad], rng: &mut dyn RngCore) -> Option<usize>;
+}
+
+/// Picks any server with room.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct RandomSelector;
+
+impl ServerSelector for RandomSelector {
+    fn pick(&self, candidates: &[CandidateLoad], rng: &mut dyn RngCore) -> Option<usize> {
+        pick_with_room(candidates, rng)
+    }
+}
+
+/// Picks the one with fewer own requests in flight, of two drawn at random.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct InFlightSelector;
+
+impl ServerSelector for InFlightSelector {
+    fn pick(&self, candidates: &[CandidateLoad], rng: &mut dyn RngCore) -> Option<usize> {
+        better_of_two(candidates, rng, |candidate| f64::from(candidate.in_flight))
+    }
+}
+
+/// Reports older than this count for nothing.
+const REPORT_MAX_AGE: Duration = Duration::from_millis(100);
+/// Latency assumed of a server that has not answered yet.
+const UNKNOWN_LATENCY: Duration = Duration::from_millis(1);
+
+/// Picks the one with the lower expected wait, of two drawn at random: latency times the requests
+/// ahead, where a load report counts the less the older it is.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct LatencySelector;
+
+impl ServerSelector for LatencySelector {
+    fn pick(&self, candidates: &[CandidateLoad], rng: &mut dyn RngCore) -> Option<usize> {
+        better_of_two(candidates, rng, expected_wait)
+    }
+}
+
+fn expected_wait(candidate: &CandidateLoad) -> f64 {
+    let latency = if candidate.latency.is_zero() { UNKNOWN_LATENCY } else { candidate.latency };
+    let own = f64::from(candidate.in_flight);
+    let ahead = match candidate.report {
+        Some((load, age)) if age < REPORT_MAX_AGE => {
+            let trust = 1.0 - age.as_secs_f64() / REPORT_MAX_AGE.as_secs_f64();
+            own + trust * (f64::from(load) - own).max(0.0)
+        }
+        _ => own,
+    };
+    latency.as_secs_f64() * (ahead + 1.0)
+}
+
+fn pick_with_room(candidates: &[CandidateLoad], rng: &mut dyn RngCore) -> Option<usize> {
+    let count = candidates.iter().filter(|candidate| candidate.has_room()).count();
+    if count == 0 {
+        return None;
+    }
+    let chosen = rng.random_range(0..count);
+    let mut with_room = candidates.iter().enumerate().filter(|(_, c)| c.has_room());
+    with_room.nth(chosen).map(|(index, _)| index)
+}
+
+fn better_of_two(
+    candidates: &[CandidateLoad],
+    rng: &mut dyn RngCore,
+    cost: impl Fn(&CandidateLoad) -> f64,
+) -> Option<usize> {
+    let first = pick_with_room(candidates, rng)?;
+    let mut others: SmallVec<[CandidateLoad; 16]> = candidates.into();
+    others[first].limit = 0;
+    let Some(second) = pick_with_room(&others, rng) else {
+        return Some(first);
+    };
+    let is_better = cost(&candidates[second]) < cost(&candidates[first]);
+    Some(if is_better { second } else { first })
+}
--- /dev/null
+++ b/crates/replica/src/driver.rs
@@ -0,0 +1,637 @@
+//! The thread that drives the consensus core: inputs in, durable effects out.
+//!
+//! All inputs that wait are taken as one batch, so that one sync serves them all.
+
+use crate::{
+    EntryStatus, MemberStatus, ReplicaHandle, ReplicaStatus,
+    entry_watch::EntryWatch,
+    store::{LogBatch, ReplicaStore, StoreError},
+};
+use consensus::{
+    Consensus, ConsensusError, CoreSettings, Effects, Envelope, LeaderHint, LogEntry, LogIndex,
+    LogPayload, Member, Membership, MembershipChange, ReadToken, ReplicaId, Restored,
+    SnapshotImage, Term,
+};
+use parking_lot::RwLock;
+use peer::{
+    ConsensusMessage, FreshnessAnswer, FreshnessGrant, FreshnessRequest, PeerLink, PeerRequest,
+    PeerTarget, SubmitAnswer,
+};
+use platform::{
+    DecisionCounters, EventKind, EventTags, EventTimeline, Logger, TimerService, wall_clock_ms,
+};
+use slog::{error, info, warn};
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+use tokio::{
+    runtime::Handle,
+    sync::{mpsc, oneshot},
+};
+use types::{ChangeAction, ClusterState, Command, CommandAnswer, HostName, LogTime};
+
+/// Inputs that may wait for the thread.
+const QUEUE_LIMIT: usize = 16_384;
+/// Inputs taken as one batch.
+const BATCH_LIMIT: usize = 4_096;
+/// A snapshot is made when the log has at least this many bytes, and twice those of the last one.
+const SNAPSHOT_MIN_LOG_BYTES: u64 = 4 * 1024 * 1024;
+/// Entries kept in memory after a snapshot, for followers that are a little behind.
+const TAIL_ENTRIES: u64 = 4_096;
+/// Period of the core's ticks.
+const TICK_PERIOD: Duration = Duration::from_millis(50);
+/// How long a stopping leader waits for its successor.
+const TRANSFER_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// What a replica is started with.
+pub struct ReplicaSettings {
+    /// Identity bound to the data folder.
+    pub identity: ReplicaId,
+    /// Host name of this process.
+    pub host: HostName,
+    /// Where other processes reach this one.
+    pub address: SocketAddr,
+    /// Timing of the core.
+    pub core: CoreSettings,
+    /// Links to the other replicas.
+    pub link: Arc<dyn PeerLink>,
+    /// Timer service.
+    pub timer: TimerService,
+    /// Time line.
+    pub timeline: EventTimeline,
+    /// Counters of decisions.
+    pub counters: DecisionCounters,
+    /// Log.
+    pub logger: Logger,
+}
+
+pub(crate) enum ReplicaInput {
+    Tick(Instant),
+    Message(ConsensusMessage),
+    Submit(Command, oneshot::Sender<SubmitAnswer>),
+    ChangeMembership(MembershipChange, oneshot::Sender<SubmitAnswer>),
+    Freshness(FreshnessRequest, oneshot::Sender<FreshnessAnswer>),
+    Bootstrap(Vec<Member>, oneshot::Sender<Result<(), String>>),
+    Status(oneshot::Sender<ReplicaStatus>),
+    Stop(oneshot::Sender<()>),
+}
+
+struct PendingCommand {
+    term: Term,
+    reply: oneshot::Sender<SubmitAnswer>,
+}
+
+struct PendingFreshness {
+    request: FreshnessRequest,
+    reply: oneshot::Sender<FreshnessAnswer>,
+}
+
+struct ReplicaDriver {
+    settings: ReplicaSettings,
+    store: Box<dyn ReplicaStore>,
+    core: Consensus,
+    state: ClusterState,
+    applied: LogIndex,
+    view: Arc<RwLock<Arc<types::ClusterView>>>,
+    commands: BTreeMap<LogIndex, PendingCommand>,
+    freshness: HashMap<ReadToken, PendingFreshness>,
+    ready_reads: Vec<(ReadToken, LogIndex)>,
+    next_token: u64,
+    watch: EntryWatch,
+    was_leader: bool,
+    snapshot_bytes: u64,
+    /// Where the senders of messages can be answered, members or not.
+    origins: HashMap<ReplicaId, PeerTarget>,
+    stalled: Option<Effects>,
+    stopping: Option<(Instant, oneshot::Sender<()>)>,
+}
+
+/// Starts the replica's thread on the current tokio runtime.
+pub fn start_replica(
+    settings: ReplicaSettings,
+    store: Box<dyn ReplicaStore>,
+    restored: Restored,
+) -> Result<ReplicaHandle, StoreError> {
+    let (inputs, queue) = mpsc::channel(QUEUE_LIMIT);
+    let mut ticks = settings.timer.subscribe(TICK_PERIOD);
+    let tick_inputs = inputs.clone();
+    tokio::spawn(async move {
+        while let Some(now) = ticks.tick().await {
+            if tick_inputs.send(ReplicaInput::Tick(now)).await.is_err() {
+                return;
+            }
+        }
+    });
+    let driver = ReplicaDriver::new(settings, store, restored)?;
+    let handle = ReplicaHandle { inputs, view: driver.view.clone() };
+    let runtime = Handle::current();
+    std::thread::spawn(move || {
+        let _guard = runtime.enter();
+        driver.run(queue);
+    });
+    Ok(handle)
+}
+
+impl ReplicaDriver {
+    fn new(
+        settings: ReplicaSettings,
+        store: Box<dyn ReplicaStore>,
+        restored: Restored,
+    ) -> Result<Self, StoreError> {
+        let state = decode_state(restored.image.as_ref())?;
+        let applied = restored.image.as_ref().map_or(LogIndex(0), |image| image.index);
+        let snapshot_bytes = restored.image.as_ref().map_or(0, |image| image.state.len() as u64);
+        let core = Consensus::new(settings.identity, settings.core.clone(), restored);
+        let view = Arc::new(RwLock::new(Arc::new(state.view().clone())));
+        Ok(Self {
+            settings,
+            store,
+            core,
+            state,
+            applied,
+            view,
+            commands: BTreeMap::new(),
+            freshness: HashMap::new(),
+            ready_reads: Vec::new(),
+            next_token: 0,
+            watch: EntryWatch::new(Instant::now()),
+            was_leader: false,
+            snapshot_bytes,
+            origins: HashMap::new(),
+            stalled: None,
+            stopping: None,
+        })
+    }
+
+    fn run(mut self, mut queue: mpsc::Receiver<ReplicaInput>) {
+        while let Some(input) = queue.blocking_recv() {
+            self.take_input(input);
+            for _ in 1..BATCH_LIMIT {
+                let Ok(input) = queue.try_recv() else {
+                    break;
+                };
+                self.take_input(input);
+            }
+            self.carry_out();
+            if self.stop_is_due() {
+                return;
+            }
+        }
+    }
+
+    fn take_input(&mut self, input: ReplicaInput) {
+        if self.stalled.is_some() {
+            self.refuse_input(input);
+            return;
+        }
+        match input {
+            ReplicaInput::Tick(now) => self.tick(now),
+            ReplicaInput::Message(message) => self.take_message(message),
+            ReplicaInput::Submit(command, reply) => self.submit(command, reply),
+            ReplicaInput::ChangeMembership(change, reply) => {
+                self.change_membership(&change, reply);
+            }
+            ReplicaInput::Freshness(request, reply) => self.start_freshness(request, reply),
+            ReplicaInput::Bootstrap(members, reply) => answer(reply, self.bootstrap(members)),
+            ReplicaInput::Status(reply) => answer(reply, self.status()),
+            ReplicaInput::Stop(reply) => self.begin_stop(reply),
+        }
+    }
+
+    /// Answers an input while the disk refuses writes.
+    fn refuse_input(&mut self, input: ReplicaInput) {
+        let reason = "the disk of this replica refuses writes".to_owned();
+        match input {
+            ReplicaInput::Tick(_) | ReplicaInput::Message(_) => {}
+            ReplicaInput::Submit(_, reply) | ReplicaInput::ChangeMembership(_, reply) => {
+                self.settings.counters.count("refused-disk");
+                answer(reply, SubmitAnswer::Refused(reason));
+            }
+            ReplicaInput::Freshness(_, reply) => answer(reply, FreshnessAnswer::NotLeader(None)),
+            ReplicaInput::Bootstrap(_, reply) => answer(reply, Err(reason)),
+            ReplicaInput::Status(reply) => answer(reply, self.status()),
+            ReplicaInput::Stop(reply) => self.stopping = Some((Instant::now(), reply)),
+        }
+    }
+
+    fn tick(&mut self, now: Instant) {
+        self.core.tick();
+        if self.core.is_leader() && self.was_leader {
+            for command in self.watch.expirations(self.state.view(), now) {
+                self.propose_own(command);
+            }
+        }
+    }
+
+    fn propose_own(&mut self, command: Command) {
+        // A replica that has just lost leadership leaves the command to its successor.
+        let _ = self.core.propose(LogTime(wall_clock_ms()), command);
+    }
+
+    fn submit(&mut self, command: Command, reply: oneshot::Sender<SubmitAnswer>) {
+        match self.core.propose(LogTime(wall_clock_ms()), command) {
+            Ok(index) => {
+                let term = self.core.term();
+                self.commands.insert(index, PendingCommand { term, reply });
+            }
+            Err(error) => answer(reply, self.refusal(error)),
+        }
+    }
+
+    fn change_membership(
+        &mut self,
+        change: &MembershipChange,
+        reply: oneshot::Sender<SubmitAnswer>,
+    ) {
+        let result = self.core.change_membership(LogTime(wall_clock_ms()), change);
+        match result {
+            Ok(_) => answer(reply, SubmitAnswer::Accepted),
+            Err(error) => answer(reply, self.refusal(error)),
+        }
+    }
+
+    fn refusal(&self, error: ConsensusError) -> SubmitAnswer {
+        match error {
+            ConsensusError::NotLeader(hint) => SubmitAnswer::NotLeader(self.leader_address(hint)),
+            ConsensusError::Membership(error) => SubmitAnswer::Refused(error.to_string()),
+        }
+    }
+
+    fn leader_address(&self, LeaderHint(leader): LeaderHint) -> Option<SocketAddr> {
+        let member = self.core.membership().get(leader?)?;
+        (member.id != self.settings.identity).then_some(member.address)
+    }
+
+    fn start_freshness(
+        &mut self,
+        request: FreshnessRequest,
+        reply: oneshot::Sender<FreshnessAnswer>,
+    ) {
+        let token = ReadToken(self.next_token);
+        self.next_token += 1;
+        if self.core.read(token).is_err() {
+            let hint = self.leader_address(self.core.leader());
+            answer(reply, FreshnessAnswer::NotLeader(hint));
+            return;
+        }
+        self.watch.observe(&request.entry.name, request.version, Instant::now());
+        for command in EntryWatch::registration(self.state.view(), &request.entry) {
+            self.propose_own(command);
+        }
+        self.freshness.insert(token, PendingFreshness { request, reply });
+    }
+
+    fn bootstrap(&mut self, members: Vec<Member>) -> Result<(), String> {
+        let ids = |membership: &Membership| {
+            let mut ids: Vec<_> = membership.members().iter().map(|member| member.id).collect();
+            ids.sort();
+            ids
+        };
+        let membership = Membership::new(members);
+        if self.core.last_index() > LogIndex(0) {
+            return if ids(self.core.membership()) == ids(&membership) {
+                Ok(())
+            } else {
+                Err("this replica belongs to a group already".to_owned())
+            };
+        }
+        if !membership.is_voter(self.settings.identity) {
+            return Err("this replica is not among the members".to_owned());
+        }
+        let state = encode_state(&self.state).map_err(|error| error.to_string())?;
+        let (index, term, time) = (LogIndex(1), Term(1), LogTime::default());
+        let image = SnapshotImage { index, term, time, membership, state };
+        let hard_state = self.core.hard_state();
+        let batch = LogBatch { hard_state: Some(hard_state), ..LogBatch::default() };
+        self.store.replace(&image, &batch).map_err(|error| error.to_string())?;
+        let restored = Restored { hard_state, image: Some(image), entries: Vec::new() };
+        self.core = Consensus::new(self.settings.identity, self.settings.core.clone(), restored);
+        self.applied = index;
+        info!(self.settings.logger, "group of replicas formed");
+        Ok(())
+    }
+
+    fn begin_stop(&mut self, reply: oneshot::Sender<()>) {
+        self.core.transfer_leadership();
+        self.stopping = Some((Instant::now() + TRANSFER_TIMEOUT, reply));
+    }
+
+    fn stop_is_due(&mut self) -> bool {
+        let is_due = match &self.stopping {
+            Some((deadline, _)) => !self.core.is_leader() || Instant::now() >= *deadline,
+            None => false,
+        };
+        if is_due && let Some((_, reply)) = self.stopping.take() {
+            answer(reply, ());
+        }
+        is_due
+    }
+
+    /// Carries out all effects, and those that they cause in turn.
+    fn carry_out(&mut self) {
+        if let Some(effects) = self.stalled.take()
+            && !self.carry_out_batch(effects)
+        {
+            return;
+        }
+        loop {
+            self.core.replicate();
+            self.core.start_round();
+            let effects = self.core.take_effects();
+            if effects.is_empty() {
+                break;
+            }
+            if !self.carry_out_batch(effects) {
+                return;
+            }
+        }
+        self.note_leadership();
+        self.make_snapshot();
+    }
+
+    /// Returns false if the disk refused, in which case the effects wait.
+    fn carry_out_batch(&mut self, mut effects: Effects) -> bool {
+        for envelope in effects.early_messages.drain(..) {
+            self.send(envelope);
+        }
+        if let Err(error) = self.persist(&effects) {
+            self.stall(effects, &error);
+            return false;
+        }
+        if let Some(image) = &effects.install {
+            self.install(image);
+        }
+        if let Some(entry) = effects.entries.last() {
+            self.core.persisted(entry.index);
+        }
+        for envelope in effects.messages.drain(..) {
+            self.send(envelope);
+        }
+        for entry in effects.committed.drain(..) {
+            self.apply(entry);
+        }
+        self.ready_reads.append(&mut effects.reads);
+        self.finish_freshness();
+        for token in effects.failed_reads.drain(..) {
+            self.fail_freshness(token);
+        }
+        true
+    }
+
+    fn persist(&mut self, effects: &Effects) -> Result<(), StoreError> {
+        if !effects.needs_sync() {
+            return Ok(());
+        }
+        let batch = LogBatch {
+            hard_state: effects.hard_state,
+            truncate_from: effects.truncate_from,
+            entries: effects.entries.clone(),
+        };
+        match &effects.install {
+            Some(image) => {
+                let hard_state = Some(self.core.hard_state());
+                self.store.replace(image, &LogBatch { hard_state, ..batch })
+            }
+            None => self.store.append(&batch),
+        }
+    }
+
+    fn stall(&mut self, effects: Effects, error: &StoreError) {
+        self.settings.counters.count("disk-refused");
+        if self.stalled.is_none() {
+            error!(self.settings.logger, "disk refuses writes"; "error" => %error);
+        }
+        self.stalled = Some(effects);
+        self.drop_pending();
+    }
+
+    fn install(&mut self, image: &SnapshotImage) {
+        match decode_state(Some(image)) {
+            Ok(state) => {
+                self.state = state;
+                self.applied = image.index;
+                self.snapshot_bytes = image.state.len() as u64;
+                self.publish_view();
+                info!(self.settings.logger, "snapshot installed"; "index" => image.index.0);
+            }
+            Err(error) => {
+                error!(self.settings.logger, "snapshot not usable"; "error" => %error);
+            }
+        }
+    }
+
+    fn take_message(&mut self, message: ConsensusMessage) {
+        let target = PeerTarget { host: message.host, address: message.address };
+        self.origins.insert(message.envelope.from, target);
+        self.core.step(message.envelope);
+    }
+
+    fn send(&self, envelope: Envelope) {
+        let member = self.core.membership().get(envelope.to);
+        let target = member
+            .map(|member| PeerTarget { host: member.host.clone(), address: member.address })
+            .or_else(|| self.origins.get(&envelope.to).cloned());
+        let Some(target) = target else {
+            return;
+        };
+        let (host, address) = (self.settings.host.clone(), self.settings.address);
+        let message = ConsensusMessage { envelope, host, address };
+        self.settings.link.send(&target, PeerRequest::Consensus(message));
+    }
+
+    fn apply(&mut self, entry: LogEntry) {
+        let index = entry.index;
+        let answer_of = match &entry.payload {
+            LogPayload::Noop => CommandAnswer::Done,
+            LogPayload::Membership(membership) => {
+                let detail = format!("{} members", membership.members().len());
+                self.record(EventKind::MembershipChanged, EventTags::default(), detail);
+                CommandAnswer::Done
+            }
+            LogPayload::Command(command) => {
+                let before = self.state.view().version;
+                let answer = self.state.apply(entry.time, command);
+                debug_assert_eq!(self.state.view().verify(), Ok(()));
+                if self.state.view().version != before {
+                    self.publish_view();
+                }
+                self.record_decision(command, &answer);
+                answer
+            }
+        };
+        self.applied = index;
+        if let Some(pending) = self.commands.remove(&index) {
+            let result = if pending.term == entry.term {
+                SubmitAnswer::Applied(answer_of)
+            } else {
+                SubmitAnswer::NotLeader(None)
+            };
+            answer(pending.reply, result);
+        }
+    }
+
+    fn record_decision(&self, command: &Command, answer: &CommandAnswer) {
+        let (Command::Change(change), CommandAnswer::Change(decision)) = (command, answer) else {
+            return;
+        };
+        if !self.core.is_leader() {
+            return;
+        }
+        let domain = match &change.action {
+            ChangeAction::Drain(domain) | ChangeAction::Undrain(domain) => Some(domain.to_string()),
+            ChangeAction::Document(_) => None,
+        };
+        let change = Some(change.id.0.to_string());
+        let tags = EventTags { change, domain, ..EventTags::default() };
+        self.record(EventKind::ChangeDecided, tags, format!("{decision:?}"));
+    }
+
+    fn record(&self, kind: EventKind, tags: EventTags, detail: String) {
+        self.settings.timeline.record(kind, tags, detail);
+    }
+
+    fn publish_view(&self) {
+        *self.view.write() = Arc::new(self.state.view().clone());
+    }
+
+    fn finish_freshness(&mut self) {
+        let applied = self.applied;
+        let ready = std::mem::take(&mut self.ready_reads);
+        for (token, index) in ready {
+            if index > applied {
+                self.ready_reads.push((token, index));
+            } else if let Some(pending) = self.freshness.remove(&token) {
+                let update = self.state.update_since(pending.request.version);
+                let replicas = self.replica_addresses();
+                let grant = FreshnessGrant { update, replicas };
+                answer(pending.reply, FreshnessAnswer::Granted(grant));
+            }
+        }
+    }
+
+    fn fail_freshness(&mut self, token: ReadToken) {
+        if let Some(pending) = self.freshness.remove(&token) {
+            let hint = self.leader_address(self.core.leader());
+            answer(pending.reply, FreshnessAnswer::NotLeader(hint));
+        }
+    }
+
+    fn replica_addresses(&self) -> Vec<(HostName, SocketAddr)> {
+        let members = self.core.membership().members().iter();
+        members.map(|member| (member.host.clone(), member.address)).collect()
+    }
+
+    fn note_leadership(&mut self) {
+        let is_leader = self.core.is_leader();
+        if is_leader == self.was_leader {
+            return;
+        }
+        self.was_leader = is_leader;
+        let term = self.core.term().0;
+        if is_leader {
+            self.watch = EntryWatch::new(Instant::now());
+            self.settings.counters.count("leader-elected");
+            info!(self.settings.logger, "leading"; "term" => term);
+            self.record(EventKind::LeaderElected, EventTags::default(), format!("term {term}"));
+        } else {
+            self.settings.counters.count("leader-lost");
+            warn!(self.settings.logger, "no longer leading"; "term" => term);
+            self.record(EventKind::LeaderLost, EventTags::default(), format!("term {term}"));
+            self.drop_pending();
+        }
+    }
+
+    /// Answers all waiting requests, whose fate this replica can no longer tell.
+    fn drop_pending(&mut self) {
+        for pending in std::mem::take(&mut self.commands).into_values() {
+            answer(pending.reply, SubmitAnswer::Unknown);
+        }
+        for pending in std::mem::take(&mut self.freshness).into_values() {
+            answer(pending.reply, FreshnessAnswer::NotLeader(None));
+        }
+        self.ready_reads.clear();
+    }
+
+    fn make_snapshot(&mut self) {
+        let limit = SNAPSHOT_MIN_LOG_BYTES.max(2 * self.snapshot_bytes);
+        if self.store.log_bytes() < limit {
+            return;
+        }
+        let Ok(state) = encode_state(&self.state) else {
+            return;
+        };
+        self.snapshot_bytes = state.len() as u64;
+        let hard_state = Some(self.core.hard_state());
+        let Some(image) = self.core.compact(self.applied, state, TAIL_ENTRIES).cloned() else {
+            return;
+        };
+        let newer = self.core.entries().iter().filter(|entry| entry.index > image.index);
+        let entries = newer.cloned().collect();
+        let batch = LogBatch { hard_state, truncate_from: None, entries };
+        match self.store.replace(&image, &batch) {
+            Ok(()) => self.settings.counters.count("snapshot-made"),
+            Err(error) => {
+                self.settings.counters.count("snapshot-failed");
+                warn!(self.settings.logger, "snapshot not written"; "error" => %error);
+            }
+        }
+    }
+
+    fn status(&self) -> ReplicaStatus {
+        let now = Instant::now();
+        let followers = self.core.follower_status();
+        let member_status = |member: &Member| {
+            let follower = followers.iter().find(|follower| follower.id == member.id);
+            let last = self.core.last_index().0;
+            MemberStatus {
+                member: member.clone(),
+                lag: follower.map(|follower| last.saturating_sub(follower.matched.0)),
+                is_active: follower.map(|follower| follower.is_active),
+            }
+        };
+        let entry_status = |info: &types::EntryInfo| {
+            let sighting = self.watch.sighting(&info.name, now).filter(|_| self.core.is_leader());
+            EntryStatus {
+                info: info.clone(),
+                view: sighting.map(|(version, _)| version),
+                age_ms: sighting.map(|(_, age)| age.as_millis() as u64),
+            }
+        };
+        ReplicaStatus {
+            id: self.settings.identity,
+            is_initialised: self.core.last_index() > LogIndex(0),
+            is_leader: self.core.is_leader(),
+            is_stalled: self.stalled.is_some(),
+            term: self.core.term().0,
+            commit: self.core.commit().0,
+            leader: self.core.leader().0,
+            members: self.core.membership().members().iter().map(member_status).collect(),
+            view: self.state.view().version,
+            claims: self.state.claim_count(),
+            entries: self.state.view().entries().map(entry_status).collect(),
+        }
+    }
+}
+
+fn encode_state(state: &ClusterState) -> Result<Arc<[u8]>, postcard::Error> {
+    Ok(postcard::to_stdvec(state)?.into())
+}
+
+fn decode_state(image: Option<&SnapshotImage>) -> Result<ClusterState, StoreError> {
+    let Some(image) = image else {
+        return Ok(ClusterState::default());
+    };
+    postcard::from_bytes(&image.state).map_err(|error| StoreError::Damaged {
+        path: "snapshot".into(),
+        offset: 0,
+        reason: error.to_string(),
+    })
+}
+
+/// Answers a request. A requester that no longer waits needs no answer.
+fn answer<T>(reply: oneshot::Sender<T>, value: T) {
+    let _ = reply.send(value);
+}
--- /dev/null
+++ b/crates/testkit/examples/fake_server.rs
@@ -0,0 +1,63 @@
+//! A fake server as a process, for the quick start: answers requests, announces itself, and prints
+//! the number of runs of each key at `GET /executions` and when it ends.
+
+use clap::Parser;
+use hawthornhill_testkit::{FakeBehaviour, FakeServer, FakeServerSettings};
+use std::{net::SocketAddr, time::Duration};
+use types::{DomainName, ServerName, ServerState, ServiceName};
+
+/// Runs one fake server.
+#[derive(Debug, Parser)]
+struct Arguments {
+    /// Name.
+    #[arg(long)]
+    name: ServerName,
+    /// Service.
+    #[arg(long)]
+    service: ServiceName,
+    /// Failure domain.
+    #[arg(long)]
+    domain: DomainName,
+    /// Entry to announce to; may be repeated.
+    #[arg(long)]
+    entry: Vec<SocketAddr>,
+    /// Requests run at the same time.
+    #[arg(long, default_value_t = 3)]
+    slots: u32,
+    /// Time of a request in milliseconds.
+    #[arg(long, default_value_t = 1)]
+    service_ms: u64,
+    /// File that always holds the number of requests run.
+    #[arg(long)]
+    count_file: std::path::PathBuf,
+}
+
+#[tokio::main(flavor = "current_thread")]
+async fn main() -> std::io::Result<()> {
+    let arguments = Arguments::parse();
+    let settings = FakeServerSettings {
+        name: arguments.name,
+        service: arguments.service,
+        domain: arguments.domain,
+        entries: arguments.entry,
+        address: SocketAddr::from(([127, 0, 0, 1], 0)),
+        seed: 1,
+    };
+    let behaviour = FakeBehaviour {
+        slots: arguments.slots,
+        service_time: Duration::from_millis(arguments.service_ms),
+        cold_requests: 20,
+        ..FakeBehaviour::default()
+    };
+    let server = FakeServer::start(settings, behaviour).await?;
+    let mut terminate = tokio::signal::unix::signal(tokio::signal::unix::SignalKind::terminate())?;
+    loop {
+        std::fs::write(&arguments.count_file, format!("{}\n", server.stats().executions))?;
+        tokio::select! {
+            _ = terminate.recv() => break,
+            () = tokio::time::sleep(Duration::from_millis(50)) => {}
+        }
+    }
+    server.set_state(ServerState::Leaving).await;
+    Ok(())
+}
--- /dev/null
+++ b/crates/testkit/src/fake_server.rs
@@ -0,0 +1,380 @@
+//! A fake server: HTTP/1.1 with slots, a queue, a cold start and many ways to misbehave.
+
+use crate::{
+    announcer::announce,
+    behaviour::{FakeBehaviour, FakeMode, FakeStats, LoadReport},
+};
+use bytes::Bytes;
+use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::{
+    body::{Frame, Incoming},
+    server::conn::http1,
+    service::service_fn,
+};
+use hyper_util::rt::TokioIo;
+use parking_lot::Mutex;
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use std::{
+    io,
+    net::SocketAddr,
+    pin::Pin,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    task::{Context, Poll},
+    time::Duration,
+};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::Semaphore,
+    task::JoinHandle,
+};
+use types::{
+    Announcement, DomainName, ServerIncarnation, ServerName, ServerState, ServiceName, header,
+};
+
+/// Identity of a fake server.
+#[derive(Debug, Clone)]
+pub struct FakeServerSettings {
+    /// Name.
+    pub name: ServerName,
+    /// Service.
+    pub service: ServiceName,
+    /// Failure domain.
+    pub domain: DomainName,
+    /// Entries to announce to.
+    pub entries: Vec<SocketAddr>,
+    /// Where to listen; port 0 takes a free one.
+    pub address: SocketAddr,
+    /// Seed of service times.
+    pub seed: u64,
+}
+
+struct FakeCore {
+    settings: FakeServerSettings,
+    address: SocketAddr,
+    behaviour: Mutex<FakeBehaviour>,
+    stats: Mutex<FakeStats>,
+    rng: Mutex<SmallRng>,
+    slots: Semaphore,
+    incarnation: AtomicU64,
+    sequence: AtomicU64,
+    state: Mutex<ServerState>,
+}
+
+/// A running fake server.
+pub struct FakeServer {
+    core: Arc<FakeCore>,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl FakeServer {
+    /// Starts a server and its announcements.
+    pub async fn start(settings: FakeServerSettings, behaviour: FakeBehaviour) -> io::Result<Self> {
+        let listener = TcpListener::bind(settings.address).await?;
+        let address = listener.local_addr()?;
+        let core = Arc::new(FakeCore {
+            address,
+            slots: Semaphore::new(behaviour.slots as usize),
+            rng: Mutex::new(SmallRng::seed_from_u64(settings.seed)),
+            behaviour: Mutex::new(behaviour),
+            stats: Mutex::default(),
+            incarnation: AtomicU64::new(1),
+            sequence: AtomicU64::new(0),
+            state: Mutex::new(ServerState::Ready),
+            settings,
+        });
+        let tasks = vec![
+            tokio::spawn(accept(listener, core.clone())),
+            tokio::spawn(announce_forever(core.clone())),
+        ];
+        Ok(Self { core, tasks })
+    }
+
+    /// Returns the server's name.
+    pub fn name(&self) -> &ServerName {
+        &self.core.settings.name
+    }
+
+    /// Returns the server's failure domain.
+    pub fn domain(&self) -> &DomainName {
+        &self.core.settings.domain
+    }
+
+    /// Returns where the server listens.
+    pub fn address(&self) -> SocketAddr {
+        self.core.address
+    }
+
+    /// Returns what the server has seen.
+    pub fn stats(&self) -> FakeStats {
+        self.core.stats.lock().clone()
+    }
+
+    /// Changes the behaviour. The number of slots stays.
+    pub fn change(&self, change: impl FnOnce(&mut FakeBehaviour)) {
+        change(&mut self.core.behaviour.lock());
+    }
+
+    /// Turns the server cold, as after a start that it does not announce.
+    pub fn restart_silently(&self) {
+        self.core.incarnation.fetch_add(1, Ordering::SeqCst);
+        self.core.stats.lock().since_start = 0;
+    }
+
+    /// Announces another state at once.
+    pub async fn set_state(&self, state: ServerState) {
+        *self.core.state.lock() = state;
+        let announcement = self.core.announcement();
+        announce(&self.core.settings.entries, &announcement).await;
+    }
+
+    /// Stops listening and announcing, as a crash does.
+    pub fn crash(&mut self) {
+        self.tasks.drain(..).for_each(|task| task.abort());
+    }
+}
+
+impl Drop for FakeServer {
+    fn drop(&mut self) {
+        self.crash();
+    }
+}
+
+impl FakeCore {
+    fn announcement(&self) -> Announcement {
+        Announcement {
+            server: self.settings.name.clone(),
+            service: self.settings.service.clone(),
+            address: self.address,
+            domain: self.settings.domain.clone(),
+            slots: self.behaviour.lock().slots as u16,
+            incarnation: ServerIncarnation(self.incarnation.load(Ordering::SeqCst)),
+            sequence: self.sequence.fetch_add(1, Ordering::SeqCst),
+            state: *self.state.lock(),
+        }
+    }
+
+    /// Returns the time that the next request takes.
+    fn draw_service_time(&self) -> Duration {
+        let (mean, jitter) = {
+            let behaviour = self.behaviour.lock();
+            (behaviour.service_time.mul_f64(behaviour.slowness), behaviour.jitter)
+        };
+        let uniform: f64 = self.rng.lock().random_range(f64::EPSILON..1.0);
+        mean.mul_f64(1.0 - jitter + jitter * -uniform.ln())
+    }
+}
+
+/// Counts a request as in flight; a request that is dropped before its end was cancelled.
+struct InFlight {
+    core: Arc<FakeCore>,
+    is_done: bool,
+}
+
+impl InFlight {
+    /// Returns also whether the server was cold and had all that it bears already.
+    fn enter(core: &Arc<FakeCore>) -> (Self, bool) {
+        let (cold_bears, cold_requests) = {
+            let behaviour = core.behaviour.lock();
+            (behaviour.cold_bears, behaviour.cold_requests)
+        };
+        let mut stats = core.stats.lock();
+        stats.received += 1;
+        stats.in_flight += 1;
+        stats.most_in_flight = stats.most_in_flight.max(stats.in_flight);
+        let is_overload = stats.since_start < cold_requests && stats.in_flight > cold_bears;
+        stats.cold_overloads += u64::from(is_overload);
+        (Self { core: core.clone(), is_done: false }, is_overload)
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        let mut stats = self.core.stats.lock();
+        stats.in_flight -= 1;
+        stats.cancelled += u64::from(!self.is_done);
+    }
+}
+
+async fn accept(listener: TcpListener, core: Arc<FakeCore>) {
+    let mut connections = tokio::task::JoinSet::new();
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => {
+                if let Ok((stream, _)) = accepted {
+                    connections.spawn(serve(stream, core.clone()));
+                }
+            }
+            Some(_) = connections.join_next() => {}
+        }
+    }
+}
+
+async fn serve(stream: TcpStream, core: Arc<FakeCore>) {
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(move |request| {
+        let core = core.clone();
+        async move { answer(request, core).await }
+    });
+    let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+}
+
+async fn answer(
+    request: Request<Incoming>,
+    core: Arc<FakeCore>,
+) -> Result<Response<FakeBody>, io::Error> {
+    if request.uri().path() == "/probe" {
+        core.stats.lock().probes += 1;
+        return Ok(Response::new(FakeBody::whole("ready\n".to_owned())));
+    }
+    let (parts, body) = request.into_parts();
+    let body = body.collect().await.map_err(io::Error::other)?.to_bytes();
+    let (mut in_flight, is_cold_overload) = InFlight::enter(&core);
+    let (mode, queue_limit, slots) = {
+        let behaviour = core.behaviour.lock();
+        (behaviour.mode, behaviour.queue_limit, behaviour.slots)
+    };
+    let present = core.stats.lock().in_flight;
+    let is_full = present > slots + queue_limit;
+    let end = match mode {
+        FakeMode::FailFast => Some(plain(&core, StatusCode::INTERNAL_SERVER_ERROR, false)),
+        FakeMode::DropBeforeRun => return Err(io::ErrorKind::ConnectionAborted.into()),
+        FakeMode::ShedNotRun => Some(plain(&core, StatusCode::SERVICE_UNAVAILABLE, true)),
+        _ if is_cold_overload => Some(plain(&core, StatusCode::INTERNAL_SERVER_ERROR, false)),
+        _ if is_full => Some(plain(&core, StatusCode::SERVICE_UNAVAILABLE, true)),
+        _ => None,
+    };
+    if let Some(response) = end {
+        in_flight.is_done = true;
+        return Ok(response);
+    }
+    let _slot = core.slots.acquire().await.map_err(io::Error::other)?;
+    note_execution(&core, &parts.headers);
+    tokio::time::sleep(core.draw_service_time()).await;
+    if mode == FakeMode::Hang {
+        std::future::pending::<()>().await;
+    }
+    in_flight.is_done = true;
+    if mode == FakeMode::DropAfterRun {
+        return Err(io::ErrorKind::ConnectionAborted.into());
+    }
+    let id = text(&parts.headers, header::REQUEST_ID);
+    let padding = "x".repeat(core.behaviour.lock().padding);
+    let (name, path) = (&core.settings.name, parts.uri.path());
+    let content = format!("server={name} id={id} path={path} bytes={} {padding} end\n", body.len());
+    let body =
+        if mode == FakeMode::Truncate { FakeBody::cut(content) } else { FakeBody::whole(content) };
+    let mut response = Response::new(body);
+    state_load(&core, response.headers_mut());
+    Ok(response)
+}
+
+fn note_execution(core: &FakeCore, headers: &HeaderMap) {
+    let mut stats = core.stats.lock();
+    stats.executions += 1;
+    stats.since_start += 1;
+    let key = text(headers, header::IDEMPOTENCY_KEY);
+    if !key.is_empty() {
+        *stats.by_key.entry(key).or_default() += 1;
+    }
+}
+
+fn plain(core: &FakeCore, status: StatusCode, is_not_run: bool) -> Response<FakeBody> {
+    let mut response = Response::new(FakeBody::whole(format!("{status}\n")));
+    *response.status_mut() = status;
+    state_load(core, response.headers_mut());
+    if is_not_run {
+        response
+            .headers_mut()
+            .insert(HeaderName::from_static(header::NOT_RUN), HeaderValue::from_static("1"));
+    }
+    response
+}
+
+fn state_load(core: &FakeCore, headers: &mut HeaderMap) {
+    let incarnation = core.incarnation.load(Ordering::SeqCst);
+    headers.insert(HeaderName::from_static(header::INCARNATION), incarnation.into());
+    let behaviour = core.behaviour.lock();
+    let load = match behaviour.report {
+        LoadReport::Silent => None,
+        LoadReport::True => Some(core.stats.lock().in_flight),
+        LoadReport::Lie(load) => Some(load),
+    };
+    if let Some(load) = load {
+        headers.insert(HeaderName::from_static(header::LOAD), load.into());
+    }
+    if behaviour.says_leaving {
+        let leaving = HeaderValue::from_static("leaving");
+        headers.insert(HeaderName::from_static(header::STATE), leaving);
+    }
+}
+
+fn text(headers: &HeaderMap, name: &str) -> String {
+    headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or_default().to_owned()
+}
+
+/// Announces as servers are asked to: to the steward that the last answer named, else to others.
+async fn announce_forever(core: Arc<FakeCore>) {
+    let mut targets = core.settings.entries.clone();
+    loop {
+        let answer = announce(&targets, &core.announcement()).await;
+        let pause = match answer {
+            Some(answer) => {
+                targets = vec![answer.steward];
+                targets.extend(answer.others);
+                Duration::from_millis(answer.period_ms)
+            }
+            None => {
+                targets = core.settings.entries.clone();
+                Duration::from_millis(200)
+            }
+        };
+        tokio::time::sleep(pause).await;
+    }
+}
+
+/// A body that may break off in the middle.
+struct FakeBody {
+    inner: Full<Bytes>,
+    declared: u64,
+    is_cut: bool,
+}
+
+impl FakeBody {
+    fn whole(content: String) -> Self {
+        let declared = content.len() as u64;
+        Self { inner: Full::new(Bytes::from(content)), declared, is_cut: false }
+    }
+
+    fn cut(content: String) -> Self {
+        let declared = content.len() as u64;
+        let half = content[..content.len() / 2].to_owned();
+        Self { inner: Full::new(Bytes::from(half)), declared, is_cut: true }
+    }
+}
+
+impl hyper::body::Body for FakeBody {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        match Pin::new(&mut self.inner).poll_frame(context) {
+            Poll::Ready(Some(Ok(frame))) => Poll::Ready(Some(Ok(frame))),
+            Poll::Ready(None) if self.is_cut => {
+                Poll::Ready(Some(Err(io::ErrorKind::ConnectionReset.into())))
+            }
+            Poll::Ready(_) => Poll::Ready(None),
+            Poll::Pending => Poll::Pending,
+        }
+    }
+
+    fn size_hint(&self) -> hyper::body::SizeHint {
+        hyper::body::SizeHint::with_exact(self.declared)
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/lib.rs
@@ -0,0 +1,18 @@
+//! Fakes for tests and measurements: a server, a load driver, a link that can be cut, and a group
+//! of real processes. Not shipped.
+
+mod announcer;
+mod behaviour;
+mod fake_server;
+mod http_client;
+mod link_switch;
+mod load_driver;
+mod process_group;
+
+pub use announcer::announce;
+pub use behaviour::{FakeBehaviour, FakeMode, FakeStats, LoadReport};
+pub use fake_server::{FakeServer, FakeServerSettings};
+pub use http_client::{HttpAnswer, HttpClient, HttpRequest};
+pub use link_switch::LinkSwitch;
+pub use load_driver::{LoadPlan, LoadReportCard, run_load};
+pub use process_group::{GroupSettings, ProcessGroup, free_addresses};
--- /dev/null
+++ b/crates/testkit/src/process_group.rs
@@ -0,0 +1,218 @@
+//! A group of real daemon processes on loopback, for tests of kills and freezes.
+
+use peer::KeyForge;
+use std::{
+    fs, io,
+    net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket},
+    path::{Path, PathBuf},
+    process::{Child, Command, Stdio},
+    sync::atomic::{AtomicU16, Ordering},
+};
+
+/// What a group consists of.
+#[derive(Debug, Clone)]
+pub struct GroupSettings {
+    /// Path of the `hawthornhill` program.
+    pub program: PathBuf,
+    /// Path of the `hawthornctl` program, if it is used.
+    pub control: Option<PathBuf>,
+    /// Folder for keys, data, settings and logs.
+    pub folder: PathBuf,
+    /// Processes with the replica role.
+    pub replicas: usize,
+    /// Processes with the entry role; the first ones share a process with a replica.
+    pub entries: usize,
+    /// Failure domains, given to processes in turn.
+    pub domains: Vec<String>,
+}
+
+/// Addresses and state of one process.
+#[derive(Debug)]
+pub struct GroupProcess {
+    /// Host name.
+    pub name: String,
+    /// Failure domain.
+    pub domain: String,
+    /// Address of links.
+    pub peer: SocketAddr,
+    /// Address for callers.
+    pub caller: SocketAddr,
+    /// Address for servers.
+    pub server: SocketAddr,
+    /// Address for operators.
+    pub operator: SocketAddr,
+    child: Option<Child>,
+}
+
+/// Running processes; killed when dropped.
+pub struct ProcessGroup {
+    settings: GroupSettings,
+    /// All processes.
+    pub processes: Vec<GroupProcess>,
+}
+
+impl ProcessGroup {
+    /// Makes keys and settings and starts all processes. The group of replicas is not formed yet.
+    pub fn start(settings: GroupSettings) -> io::Result<Self> {
+        let count = settings.replicas.max(settings.entries);
+        let authority = settings.folder.join("authority");
+        let forge = KeyForge::open(&authority).map_err(io::Error::other)?;
+        let operator = settings.folder.join("operator");
+        forge.issue_operator("operator", 30, &operator).map_err(io::Error::other)?;
+        let mut processes = Vec::with_capacity(count);
+        for index in 0..count {
+            let name = format!("host-{}", index + 1);
+            let keys = settings.folder.join("keys").join(&name);
+            forge.issue_host(&name, 30, &keys).map_err(io::Error::other)?;
+            let [peer, caller, server, operator] = free_addresses()?;
+            let domain = settings.domains[index % settings.domains.len()].clone();
+            let child = None;
+            processes.push(GroupProcess { name, domain, peer, caller, server, operator, child });
+        }
+        let mut group = Self { settings, processes };
+        for index in 0..count {
+            group.write_settings(index)?;
+            group.spawn(index)?;
+        }
+        Ok(group)
+    }
+
+    /// Starts a process again.
+    pub fn spawn(&mut self, index: usize) -> io::Result<()> {
+        let path = self.settings_path(index);
+        let log = fs::File::options().create(true).append(true).open(path.with_extension("log"))?;
+        let child = Command::new(&self.settings.program)
+            .arg("--settings")
+            .arg(&path)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn()?;
+        self.processes[index].child = Some(child);
+        Ok(())
+    }
+
+    /// Kills a process (SIGKILL).
+    pub fn kill(&mut self, index: usize) -> io::Result<()> {
+        if let Some(mut child) = self.processes[index].child.take() {
+            child.kill()?;
+            child.wait()?;
+        }
+        Ok(())
+    }
+
+    /// Sends a signal by name, such as `STOP`, `CONT` or `TERM`.
+    pub fn signal(&self, index: usize, name: &str) -> io::Result<()> {
+        let Some(child) = &self.processes[index].child else {
+            return Ok(());
+        };
+        let status =
+            Command::new("kill").arg(format!("-{name}")).arg(child.id().to_string()).status()?;
+        if status.success() { Ok(()) } else { Err(io::Error::other("kill failed")) }
+    }
+
+    /// Waits for a process that was asked to stop. Returns whether it ended with success.
+    pub fn wait(&mut self, index: usize) -> io::Result<bool> {
+        match self.processes[index].child.take() {
+            Some(mut child) => Ok(child.wait()?.success()),
+            None => Ok(true),
+        }
+    }
+
+    /// Loses the data folder of a process that does not run.
+    pub fn wipe(&self, index: usize) -> io::Result<()> {
+        fs::remove_dir_all(self.settings.folder.join(format!("data-{}", index + 1)))
+    }
+
+    /// Returns the operator's key folder.
+    pub fn operator_keys(&self) -> PathBuf {
+        self.settings.folder.join("operator")
+    }
+
+    /// Runs `hawthornctl` against all processes. Returns its exit code and output.
+    pub fn control(&self, arguments: &[&str]) -> io::Result<(i32, String)> {
+        let program =
+            self.settings.control.as_ref().ok_or_else(|| io::Error::other("no control program"))?;
+        let mut command = Command::new(program);
+        command.arg("--key-folder").arg(self.operator_keys());
+        for process in &self.processes {
+            command.arg("--endpoint").arg(format!("{}={}", process.name, process.operator));
+        }
+        let output = command.args(arguments).stdin(Stdio::null()).output()?;
+        let text = [output.stdout, output.stderr].concat();
+        let text = String::from_utf8_lossy(&text).into_owned();
+        Ok((output.status.code().unwrap_or(-1), text))
+    }
+
+    fn settings_path(&self, index: usize) -> PathBuf {
+        self.settings.folder.join(format!("host-{}.toml", index + 1))
+    }
+
+    fn write_settings(&self, index: usize) -> io::Result<()> {
+        let process = &self.processes[index];
+        let mut roles = Vec::new();
+        if index < self.settings.entries {
+            roles.push("\"entry\"");
+        }
+        if index < self.settings.replicas {
+            roles.push("\"replica\"");
+        }
+        let folder: &Path = &self.settings.folder;
+        let mut text = format!(
+            "name = \"{}\"\nfailure_domain = \"{}\"\nroles = [{}]\ndata_folder = {:?}\n\
+             key_folder = {:?}\npeer_address = \"{}\"\ncaller_address = \"{}\"\n\
+             server_address = \"{}\"\noperator_address = \"{}\"\nguide_max_age_s = 1\nthreads = 2\n",
+            process.name,
+            process.domain,
+            roles.join(", "),
+            folder.join(format!("data-{}", index + 1)),
+            folder.join("keys").join(&process.name),
+            process.peer,
+            process.caller,
+            process.server,
+            process.operator,
+        );
+        for replica in &self.processes[..self.settings.replicas] {
+            text += &format!(
+                "\n[[replicas]]\nhost = \"{}\"\naddress = \"{}\"\n",
+                replica.name, replica.peer
+            );
+        }
+        fs::write(self.settings_path(index), text)
+    }
+}
+
+impl Drop for ProcessGroup {
+    fn drop(&mut self) {
+        for process in &mut self.processes {
+            if let Some(mut child) = process.child.take() {
+                // Nothing is left to do for a process that has ended by itself.
+                let _ = child.kill();
+                let _ = child.wait();
+            }
+        }
+    }
+}
+
+/// The first port tried, below the range from which systems give ports to outgoing connections.
+const FIRST_PORT: u16 = 10_000;
+/// Ports tried.
+const PORT_COUNT: u16 = 20_000;
+
+/// Returns four free loopback addresses that no outgoing connection will take meanwhile.
+pub fn free_addresses() -> io::Result<[SocketAddr; 4]> {
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    let offset = (std::process::id() % u32::from(PORT_COUNT)) as u16;
+    let mut found = Vec::with_capacity(4);
+    for _ in 0..PORT_COUNT {
+        let number = NEXT.fetch_add(1, Ordering::Relaxed).wrapping_add(offset) % PORT_COUNT;
+        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, FIRST_PORT + number));
+        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
+            found.push(address);
+        }
+        if let Ok(addresses) = <[SocketAddr; 4]>::try_from(found.as_slice()) {
+            return Ok(addresses);
+        }
+    }
+    Err(io::ErrorKind::AddrNotAvailable.into())
+}
--- /dev/null
+++ b/crates/types/src/state.rs
@@ -0,0 +1,343 @@
+//! The replicated state machine: commands in log order in, answers out.
+//!
+//! Applying is deterministic. Time enters only through the log, so that all replicas forget alike.
+
+use crate::{
+    AttemptId, CLAIM_FORGET_AFTER_MS, CLAIM_RETENTION_MS, CLOCK_SKEW_LIMIT_MS, ChangeAction,
+    ChangeAnswer, ChangeDigest, ChangeId, ChangeRequest, ClaimAnswer, ClaimKey, ClaimRelease,
+    ClaimRequest, ClaimResult, ClusterView, DocumentVersion, EntryIncarnation, EntryInfo,
+    EntryName, LogTime, RefusalKind, TeamDocument, VIEW_LOG_LIMIT, ViewChange, ViewError,
+    ViewUpdate, ViewVersion,
+};
+use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use thiserror::Error;
+
+/// How many decided changes are remembered for resends.
+const CHANGE_MEMORY: usize = 20_000;
+
+/// A command in the replicated log.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Command {
+    /// Decides an operator's change.
+    Change(ChangeRequest),
+    /// Claims a request that may not be repeated.
+    Claim(ClaimRequest),
+    /// Gives up a claim.
+    Release(ClaimRelease),
+    /// Records the end of a claimed request.
+    Finish(ClaimResult),
+    /// Registers an entry or updates it.
+    PutEntry(EntryInfo),
+    /// Removes an entry, unless it has been started again since.
+    RemoveEntry(EntryName, EntryIncarnation),
+    /// Spreads the ranges over the entries.
+    BalanceRanges,
+}
+
+/// The answer to a command.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum CommandAnswer {
+    /// For a change.
+    Change(ChangeAnswer),
+    /// For a claim.
+    Claim(ClaimAnswer),
+    /// For all others.
+    Done,
+}
+
+/// Says how the state contradicts itself.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum StateViolation {
+    /// The view contradicts itself.
+    #[error(transparent)]
+    View(#[from] ViewError),
+    /// A claim is held by an attempt that was released.
+    #[error("claim {0} is held by a released attempt")]
+    ReleasedHolder(ClaimKey),
+    /// The claims and their expiry queue differ.
+    #[error("claim {0} has no place in the expiry order")]
+    Expiry(ClaimKey),
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+enum ClaimStage {
+    Free,
+    Held(AttemptId),
+    Ran(AttemptId, u16),
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+struct ClaimRecord {
+    digest: u32,
+    stage: ClaimStage,
+    released: SmallVec<[AttemptId; 1]>,
+}
+
+/// All replicated state.
+///
+/// Invariants: those of [`ClusterView`]; a released attempt never holds a claim; every claim stands
+/// once in the expiry order.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ClusterState {
+    time: LogTime,
+    view: ClusterView,
+    recent: VecDeque<ViewChange>,
+    decided: BTreeMap<ChangeId, (ChangeDigest, ChangeAnswer)>,
+    decided_order: VecDeque<ChangeId>,
+    claims: BTreeMap<ClaimKey, ClaimRecord>,
+    expiry: BTreeSet<(u64, ClaimKey)>,
+}
+
+impl ClusterState {
+    /// Returns the time of the last command.
+    pub fn time(&self) -> LogTime {
+        self.time
+    }
+
+    /// Returns the view that entries hold.
+    pub fn view(&self) -> &ClusterView {
+        &self.view
+    }
+
+    /// Returns the number of claims remembered.
+    pub fn claim_count(&self) -> usize {
+        self.claims.len()
+    }
+
+    /// Returns what an entry at `version` needs to reach the current view.
+    pub fn update_since(&self, version: ViewVersion) -> ViewUpdate {
+        let behind = self.view.version.0.checked_sub(version.0).map(|count| count as usize);
+        match behind {
+            Some(count) if count <= self.recent.len() => {
+                let skipped = self.recent.len() - count;
+                ViewUpdate::Changes(self.recent.iter().skip(skipped).cloned().collect())
+            }
+            _ => ViewUpdate::Whole(Box::new(self.view.clone())),
+        }
+    }
+
+    /// Applies the next command of the log.
+    pub fn apply(&mut self, time: LogTime, command: &Command) -> CommandAnswer {
+        self.time = self.time.max(time);
+        self.forget_claims();
+        match command {
+            Command::Change(change) => CommandAnswer::Change(self.decide_change(change)),
+            Command::Claim(claim) => CommandAnswer::Claim(self.decide_claim(claim)),
+            Command::Release(release) => self.release_claim(release),
+            Command::Finish(result) => self.finish_claim(result),
+            Command::PutEntry(info) => self.put_entry(info),
+            Command::RemoveEntry(name, incarnation) => self.remove_entry(name, *incarnation),
+            Command::BalanceRanges => self.balance_ranges(),
+        }
+    }
+
+    /// Checks the invariants.
+    pub fn verify(&self) -> Result<(), StateViolation> {
+        self.view.verify()?;
+        for (key, record) in &self.claims {
+            if let ClaimStage::Held(attempt) = record.stage
+                && record.released.contains(&attempt)
+            {
+                return Err(StateViolation::ReleasedHolder(key.clone()));
+            }
+            let place = (key.time_ms().unwrap_or_default(), key.clone());
+            if !self.expiry.contains(&place) {
+                return Err(StateViolation::Expiry(key.clone()));
+            }
+        }
+        Ok(())
+    }
+
+    fn change_view(&mut self, change: ViewChange) {
+        self.view.apply(&change);
+        self.recent.push_back(change);
+        if self.recent.len() > VIEW_LOG_LIMIT {
+            self.recent.pop_front();
+        }
+    }
+
+    fn decide_change(&mut self, change: &ChangeRequest) -> ChangeAnswer {
+        let digest = change.digest();
+        if let Some((first_digest, answer)) = self.decided.get(&change.id) {
+            if *first_digest == digest {
+                return answer.clone();
+            }
+            let reason = "this change id was used before for another change".to_owned();
+            let current = self.current_version(&change.action);
+            return ChangeAnswer::Refused { kind: RefusalKind::IdReused, current, reason };
+        }
+        let answer = self.decide_new_change(change);
+        self.decided.insert(change.id, (digest, answer.clone()));
+        self.decided_order.push_back(change.id);
+        if self.decided_order.len() > CHANGE_MEMORY
+            && let Some(oldest) = self.decided_order.pop_front()
+        {
+            self.decided.remove(&oldest);
+        }
+        answer
+    }
+
+    fn decide_new_change(&mut self, change: &ChangeRequest) -> ChangeAnswer {
+        let current = self.current_version(&change.action);
+        if change.expected_version != current {
+            let reason = format!(
+                "expected version {}, but version {current} is in force",
+                change.expected_version
+            );
+            return ChangeAnswer::Refused { kind: RefusalKind::Conflict, current, reason };
+        }
+        let version = current.next();
+        let view_change = match &change.action {
+            ChangeAction::Document(document) => {
+                if let Err((kind, reason)) = self.check_document(document) {
+                    return ChangeAnswer::Refused { kind, current, reason };
+                }
+                ViewChange::PutDocument(document.clone(), version)
+            }
+            ChangeAction::Drain(domain) => ViewChange::SetDrain(domain.clone(), true, version),
+            ChangeAction::Undrain(domain) => ViewChange::SetDrain(domain.clone(), false, version),
+        };
+        self.change_view(view_change);
+        ChangeAnswer::Accepted { version }
+    }
+
+    fn check_document(&self, document: &TeamDocument) -> Result<(), (RefusalKind, String)> {
+        document.verify().map_err(|error| (RefusalKind::Invalid, error.to_string()))?;
+        for service in &document.services {
+            let holder = self.view.holder(&service.name);
+            if let Some(team) = holder.filter(|team| **team != document.team) {
+                let reason = format!("service {} is held by team {team}", service.name);
+                return Err((RefusalKind::ServiceHeld { team: team.clone() }, reason));
+            }
+        }
+        Ok(())
+    }
+
+    fn current_version(&self, action: &ChangeAction) -> DocumentVersion {
+        match action {
+            ChangeAction::Document(document) => self.view.document_version(&document.team),
+            ChangeAction::Drain(domain) | ChangeAction::Undrain(domain) => {
+                self.view.drain_version(domain)
+            }
+        }
+    }
+
+    fn decide_claim(&mut self, claim: &ClaimRequest) -> ClaimAnswer {
+        let Some(key_time) = claim.key.time_ms() else {
+            return ClaimAnswer::BadKey;
+        };
+        if key_time > self.time.0 + CLOCK_SKEW_LIMIT_MS {
+            return ClaimAnswer::TooNew;
+        }
+        if let Some(record) = self.claims.get_mut(&claim.key) {
+            return record.decide(claim);
+        }
+        if key_time + CLAIM_RETENTION_MS < self.time.0 {
+            return ClaimAnswer::TooOld;
+        }
+        let record = ClaimRecord {
+            digest: claim.digest,
+            stage: ClaimStage::Held(claim.attempt),
+            released: SmallVec::new(),
+        };
+        self.insert_claim(key_time, claim.key.clone(), record);
+        ClaimAnswer::Granted
+    }
+
+    fn release_claim(&mut self, release: &ClaimRelease) -> CommandAnswer {
+        if let Some(record) = self.claims.get_mut(&release.key) {
+            record.release(release.attempt);
+        } else if let Some(key_time) = release.key.time_ms()
+            && key_time + CLAIM_RETENTION_MS >= self.time.0
+        {
+            // The claim may still be on its way, so the release is remembered in its place.
+            let record = ClaimRecord {
+                digest: 0,
+                stage: ClaimStage::Free,
+                released: SmallVec::from_elem(release.attempt, 1),
+            };
+            self.insert_claim(key_time, release.key.clone(), record);
+        }
+        CommandAnswer::Done
+    }
+
+    fn finish_claim(&mut self, result: &ClaimResult) -> CommandAnswer {
+        if let Some(record) = self.claims.get_mut(&result.key)
+            && record.stage == ClaimStage::Held(result.attempt)
+        {
+            record.stage = ClaimStage::Ran(result.attempt, result.status);
+        }
+        CommandAnswer::Done
+    }
+
+    fn insert_claim(&mut self, key_time: u64, key: ClaimKey, record: ClaimRecord) {
+        self.expiry.insert((key_time, key.clone()));
+        self.claims.insert(key, record);
+    }
+
+    fn forget_claims(&mut self) {
+        while let Some((key_time, _)) = self.expiry.first() {
+            if key_time + CLAIM_FORGET_AFTER_MS >= self.time.0 {
+                return;
+            }
+            if let Some((_, key)) = self.expiry.pop_first() {
+                self.claims.remove(&key);
+            }
+        }
+    }
+
+    fn put_entry(&mut self, info: &EntryInfo) -> CommandAnswer {
+        let known = self.view.entry(&info.name);
+        if known != Some(info) {
+            self.change_view(ViewChange::PutEntry(info.clone()));
+        }
+        CommandAnswer::Done
+    }
+
+    fn remove_entry(&mut self, name: &EntryName, incarnation: EntryIncarnation) -> CommandAnswer {
+        if self.view.entry(name).is_some_and(|info| info.incarnation == incarnation) {
+            self.change_view(ViewChange::RemoveEntry(name.clone()));
+        }
+        CommandAnswer::Done
+    }
+
+    fn balance_ranges(&mut self) -> CommandAnswer {
+        let moves = self.view.plan_ranges();
+        if !moves.is_empty() {
+            self.change_view(ViewChange::AssignRanges(moves));
+        }
+        CommandAnswer::Done
+    }
+}
+
+impl ClaimRecord {
+    fn decide(&mut self, claim: &ClaimRequest) -> ClaimAnswer {
+        if self.released.contains(&claim.attempt) {
+            return ClaimAnswer::Released;
+        }
+        if self.stage == ClaimStage::Free {
+            self.digest = claim.digest;
+            self.stage = ClaimStage::Held(claim.attempt);
+            return ClaimAnswer::Granted;
+        }
+        if self.digest != claim.digest {
+            return ClaimAnswer::OtherRequest;
+        }
+        match self.stage {
+            ClaimStage::Held(attempt) if attempt == claim.attempt => ClaimAnswer::Granted,
+            ClaimStage::Ran(_, status) => ClaimAnswer::Ran { status },
+            ClaimStage::Held(_) | ClaimStage::Free => ClaimAnswer::Held,
+        }
+    }
+
+    fn release(&mut self, attempt: AttemptId) {
+        if !self.released.contains(&attempt) {
+            self.released.push(attempt);
+        }
+        if self.stage == ClaimStage::Held(attempt) {
+            self.stage = ClaimStage::Free;
+        }
+    }
+}
--- /dev/null
+++ b/crates/types/src/view.rs
@@ -0,0 +1,276 @@
+//! The part of the replicated state that every entry holds, and its changes.
+//!
+//! Each change raises the version by one, so that an entry that is a little behind is sent the
+//! changes it lacks, and only one that is far behind the whole view.
+
+use crate::{
+    DocumentVersion, DomainName, EntryInfo, EntryName, ServerName, ServiceName, ServiceSpec,
+    TeamDocument, TeamName,
+};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+use thiserror::Error;
+
+/// The number of ranges into which servers are hashed.
+pub const RANGE_COUNT: usize = 256;
+/// The number of changes kept for entries that are behind.
+pub const VIEW_LOG_LIMIT: usize = 1024;
+
+/// The version of the view; plus 1 at each change.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
+)]
+pub struct ViewVersion(pub u64);
+
+/// One of the ranges into which servers are hashed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct RangeIndex(pub u8);
+
+/// The steward of a range.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RangeLease {
+    /// The entry that looks after the servers in the range.
+    pub steward: EntryName,
+    /// The version of the view that gave the range to this steward.
+    pub since: ViewVersion,
+    /// No other steward held the range before.
+    pub is_first: bool,
+}
+
+/// An entry as the replicated state knows it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EntryRecord {
+    /// Identity and addresses.
+    pub info: EntryInfo,
+}
+
+/// A change of the view.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ViewChange {
+    /// A document replaces the team's former one.
+    PutDocument(TeamDocument, DocumentVersion),
+    /// A failure domain is taken out of service (`true`) or brought back.
+    SetDrain(DomainName, bool, DocumentVersion),
+    /// An entry is new or has changed.
+    PutEntry(EntryInfo),
+    /// An entry has left or lost its lease.
+    RemoveEntry(EntryName),
+    /// Ranges get a new steward.
+    AssignRanges(Vec<(RangeIndex, EntryName)>),
+}
+
+/// What an entry needs to reach the current view.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ViewUpdate {
+    /// The changes that follow the entry's version, in order.
+    Changes(Vec<ViewChange>),
+    /// The whole view.
+    Whole(Box<ClusterView>),
+}
+
+/// Says how a view contradicts itself.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum ViewError {
+    /// The holder of a service does not declare it.
+    #[error("service {0} is held by a team that does not declare it")]
+    Holder(ServiceName),
+    /// A range is leased to an entry that is not registered.
+    #[error("range {range:?} is leased to {steward}, which is not an entry")]
+    Steward {
+        /// The range.
+        range: RangeIndex,
+        /// The unknown entry.
+        steward: EntryName,
+    },
+}
+
+/// Configuration, drains, entries and stewards.
+///
+/// Invariants: each service is held by exactly the team whose document declares it; every steward
+/// is a registered entry.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ClusterView {
+    /// Version of this view.
+    pub version: ViewVersion,
+    documents: BTreeMap<TeamName, (TeamDocument, DocumentVersion)>,
+    holders: BTreeMap<ServiceName, TeamName>,
+    drains: BTreeMap<DomainName, (bool, DocumentVersion)>,
+    entries: BTreeMap<EntryName, EntryRecord>,
+    ranges: BTreeMap<RangeIndex, RangeLease>,
+    /// Ranges that have had a steward at any time.
+    used_ranges: BTreeSet<RangeIndex>,
+}
+
+impl ClusterView {
+    /// Returns the version of a team's document, 0 if there is none.
+    pub fn document_version(&self, team: &TeamName) -> DocumentVersion {
+        self.documents.get(team).map(|(_, version)| *version).unwrap_or_default()
+    }
+
+    /// Returns the version of the drain of a failure domain, 0 if it was never drained.
+    pub fn drain_version(&self, domain: &DomainName) -> DocumentVersion {
+        self.drains.get(domain).map(|(_, version)| *version).unwrap_or_default()
+    }
+
+    /// Returns all documents with their versions.
+    pub fn documents(&self) -> impl Iterator<Item = (&TeamDocument, DocumentVersion)> {
+        self.documents.values().map(|(document, version)| (document, *version))
+    }
+
+    /// Returns all drains, `true` where the failure domain is out of service.
+    pub fn drains(&self) -> impl Iterator<Item = (&DomainName, bool, DocumentVersion)> {
+        self.drains.iter().map(|(domain, (drained, version))| (domain, *drained, *version))
+    }
+
+    /// Says whether a failure domain is out of service.
+    pub fn is_drained(&self, domain: &DomainName) -> bool {
+        self.drains.get(domain).is_some_and(|(drained, _)| *drained)
+    }
+
+    /// Returns the team that holds a service.
+    pub fn holder(&self, service: &ServiceName) -> Option<&TeamName> {
+        self.holders.get(service)
+    }
+
+    /// Returns the specification of a service.
+    pub fn service(&self, service: &ServiceName) -> Option<&ServiceSpec> {
+        let (document, _) = self.documents.get(self.holders.get(service)?)?;
+        document.services.iter().find(|spec| spec.name == *service)
+    }
+
+    /// Returns all entries.
+    pub fn entries(&self) -> impl Iterator<Item = &EntryInfo> {
+        self.entries.values().map(|record| &record.info)
+    }
+
+    /// Returns an entry by name.
+    pub fn entry(&self, name: &EntryName) -> Option<&EntryInfo> {
+        self.entries.get(name).map(|record| &record.info)
+    }
+
+    /// Returns the lease of a range.
+    pub fn range(&self, range: RangeIndex) -> Option<&RangeLease> {
+        self.ranges.get(&range)
+    }
+
+    /// Returns the ranges that an entry looks after.
+    pub fn ranges_of(
+        &self,
+        steward: &EntryName,
+    ) -> impl Iterator<Item = (RangeIndex, &RangeLease)> {
+        let is_own = move |(_, lease): &(&RangeIndex, &RangeLease)| lease.steward == *steward;
+        self.ranges.iter().filter(is_own).map(|(range, lease)| (*range, lease))
+    }
+
+    /// Returns the lease that covers a server.
+    pub fn server_lease(&self, server: &ServerName) -> Option<&RangeLease> {
+        self.range(server_range(server))
+    }
+
+    /// Applies one change and raises the version.
+    pub fn apply(&mut self, change: &ViewChange) {
+        self.version = ViewVersion(self.version.0 + 1);
+        match change {
+            ViewChange::PutDocument(document, version) => self.put_document(document, *version),
+            ViewChange::SetDrain(domain, drained, version) => {
+                self.drains.insert(domain.clone(), (*drained, *version));
+            }
+            ViewChange::PutEntry(info) => {
+                self.entries.insert(info.name.clone(), EntryRecord { info: info.clone() });
+            }
+            ViewChange::RemoveEntry(name) => {
+                self.entries.remove(name);
+                self.ranges.retain(|_, lease| lease.steward != *name);
+            }
+            ViewChange::AssignRanges(moves) => {
+                for (range, steward) in moves {
+                    let is_first = self.used_ranges.insert(*range);
+                    let lease =
+                        RangeLease { steward: steward.clone(), since: self.version, is_first };
+                    self.ranges.insert(*range, lease);
+                }
+            }
+        }
+    }
+
+    /// Brings the view up to date.
+    pub fn update(&mut self, update: ViewUpdate) {
+        match update {
+            ViewUpdate::Changes(changes) => changes.iter().for_each(|change| self.apply(change)),
+            ViewUpdate::Whole(view) => *self = *view,
+        }
+    }
+
+    /// Returns the moves that spread all ranges evenly over the serving entries, moving as few as
+    /// possible.
+    pub fn plan_ranges(&self) -> Vec<(RangeIndex, EntryName)> {
+        let serving: Vec<&EntryName> =
+            self.entries().filter(|entry| entry.serving).map(|entry| &entry.name).collect();
+        if serving.is_empty() {
+            return Vec::new();
+        }
+        let share = RANGE_COUNT.div_ceil(serving.len());
+        let mut counts: BTreeMap<&EntryName, usize> =
+            serving.iter().map(|name| (*name, 0)).collect();
+        let mut homeless = Vec::new();
+        for range in (0..RANGE_COUNT).map(|index| RangeIndex(index as u8)) {
+            let count = self.ranges.get(&range).and_then(|lease| counts.get_mut(&lease.steward));
+            match count {
+                Some(count) if *count < share => *count += 1,
+                _ => homeless.push(range),
+            }
+        }
+        let mut moves = Vec::with_capacity(homeless.len());
+        for range in homeless {
+            let Some((name, count)) =
+                counts.iter_mut().min_by_key(|(name, count)| (**count, **name))
+            else {
+                break;
+            };
+            *count += 1;
+            moves.push((range, (*name).clone()));
+        }
+        moves
+    }
+
+    /// Checks the invariants.
+    pub fn verify(&self) -> Result<(), ViewError> {
+        for service in self.holders.keys() {
+            if self.service(service).is_none() {
+                return Err(ViewError::Holder(service.clone()));
+            }
+        }
+        for (document, _) in self.documents.values() {
+            for spec in &document.services {
+                if self.holders.get(&spec.name) != Some(&document.team) {
+                    return Err(ViewError::Holder(spec.name.clone()));
+                }
+            }
+        }
+        for (range, lease) in &self.ranges {
+            if !self.entries.contains_key(&lease.steward) {
+                return Err(ViewError::Steward { range: *range, steward: lease.steward.clone() });
+            }
+        }
+        Ok(())
+    }
+
+    fn put_document(&mut self, document: &TeamDocument, version: DocumentVersion) {
+        let kept: BTreeSet<&ServiceName> =
+            document.services.iter().map(|service| &service.name).collect();
+        self.holders.retain(|service, team| *team != document.team || kept.contains(service));
+        for service in kept {
+            self.holders.insert(service.clone(), document.team.clone());
+        }
+        self.documents.insert(document.team.clone(), (document.clone(), version));
+    }
+}
+
+/// Returns the range into which a server's name falls (FNV-1a, folded to one byte).
+pub fn server_range(server: &ServerName) -> RangeIndex {
+    let hash = server.as_str().bytes().fold(0xcbf2_9ce4_8422_2325_u64, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
+    });
+    let folded = hash.to_be_bytes().iter().fold(0, |all, byte| all ^ byte);
+    RangeIndex(folded)
+}
