--- /dev/null
+++ b/crates/daemon/tests/at_most_once.rs
@@ -0,0 +1,213 @@
+//! Requests that may not be repeated run at most once, and "not run" is true, with real processes.
+
+mod system;
+
+use std::collections::BTreeMap;
+use system::{System, new_key, outcome, pause, runs};
+use testkit::FakeMode;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn racing_and_resent_bookings_run_once() {
+    let system = System::start(3, 3).await;
+    let first = system.server("b-1", "book", "east").await;
+    let second = system.server("b-2", "book", "west").await;
+    let servers = [&first, &second];
+    for index in 0..3 {
+        system.wait_served(index, "book").await;
+    }
+
+    // Three entries race with one key.
+    for _ in 0..30 {
+        let key = new_key();
+        let (a, b, c) = tokio::join!(
+            system.book(0, &key, "x"),
+            system.book(1, &key, "x"),
+            system.book(2, &key, "x")
+        );
+        let answers: Vec<_> =
+            [a, b, c].into_iter().map(|answer| answer.expect("answers")).collect();
+        assert_eq!(runs(&servers, &key), 1);
+        assert_eq!(answers.iter().filter(|answer| answer.status == 200).count(), 1);
+        assert!(answers.iter().all(|answer| outcome(answer) != "not-run"), "it ran");
+    }
+
+    // The answer is lost and the request resent elsewhere.
+    let key = new_key();
+    assert_eq!(system.book(0, &key, "x").await.expect("answers").status, 200);
+    pause(300).await;
+    let again = system.book(1, &key, "x").await.expect("answers");
+    assert_eq!((again.status, outcome(&again)), (409, "ran"));
+
+    // The same key with another body.
+    let other = system.book(2, &key, "y").await.expect("answers");
+    assert_eq!((other.status, outcome(&other)), (422, "unknown"));
+    assert_eq!(runs(&servers, &key), 1);
+
+    // A key that is too old, and one that is no UUIDv7.
+    let old = uuid::Builder::from_unix_timestamp_millis(1_000, &[7; 10]).into_uuid().to_string();
+    let answer = system.book(0, &old, "x").await.expect("answers");
+    assert_eq!((answer.status, outcome(&answer)), (409, "unknown"));
+    let bad = uuid::Uuid::from_u128(5).to_string();
+    let answer = system.book(0, &bad, "x").await.expect("answers");
+    assert_eq!((answer.status, outcome(&answer)), (400, "not-run"));
+    assert_eq!(runs(&servers, &old) + runs(&servers, &bad), 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_booking_is_not_sent_again_when_its_answer_is_lost() {
+    let system = System::start(3, 2).await;
+    let first = system.server("b-1", "book", "east").await;
+    let second = system.server("b-2", "book", "west").await;
+    let servers = [&first, &second];
+    system.wait_served(0, "book").await;
+    let cases = [
+        (FakeMode::DropAfterRun, 502, "unknown", 1),
+        (FakeMode::Truncate, 502, "unknown", 1),
+        // Not run, but the entry cannot know.
+        (FakeMode::DropBeforeRun, 502, "unknown", 0),
+        (FakeMode::ShedNotRun, 503, "not-run", 0),
+    ];
+    for (mode, status, expected, count) in cases {
+        // Broken answers make servers cold again, so each case starts with servers that serve.
+        servers.iter().for_each(|server| server.change(|b| b.mode = FakeMode::Normal));
+        system.wait_served(0, "book").await;
+        servers.iter().for_each(|server| server.change(|b| b.mode = mode));
+        let key = new_key();
+        let answer = system.book(0, &key, "x").await.expect("answers");
+        assert_eq!((answer.status, outcome(&answer)), (status, expected), "{mode:?}");
+        assert_eq!(runs(&servers, &key), count, "{mode:?}");
+        servers.iter().for_each(|server| server.change(|b| b.mode = FakeMode::Normal));
+        system.wait_served(0, "book").await;
+        let again = system.book(0, &key, "x").await.expect("answers");
+        if expected == "not-run" {
+            assert_eq!((again.status, runs(&servers, &key)), (200, 1), "{mode:?}");
+        } else {
+            assert_eq!(outcome(&again), "unknown", "{mode:?}");
+            assert_eq!(runs(&servers, &key), count, "{mode:?}");
+        }
+    }
+}
+
+/// Books with many keys at all entries, each again elsewhere until it is answered, while `disturb`
+/// runs. Then no key ran twice, and none ran that was only ever answered with "not run".
+async fn book_through_trouble(
+    system: &System,
+    servers: &[&testkit::FakeServer],
+    count: usize,
+    disturb: impl Future<Output = ()>,
+) {
+    let book = async {
+        let mut answers: BTreeMap<String, Vec<String>> = BTreeMap::new();
+        for number in 0..count {
+            let key = new_key();
+            for attempt in 0..4 {
+                let index = (number + attempt) % system.group.processes.len();
+                let answer = system.book(index, &key, "x").await;
+                let said = answer.as_ref().map_or("none", |answer| outcome(answer)).to_owned();
+                answers.entry(key.clone()).or_default().push(said.clone());
+                if said == "ran" {
+                    break;
+                }
+                pause(20).await;
+            }
+        }
+        answers
+    };
+    let (answers, ()) = tokio::join!(book, disturb);
+    pause(500).await;
+    let mut ran = 0;
+    for (key, said) in &answers {
+        let count = runs(servers, key);
+        assert!(count <= 1, "{key} ran {count} times: {said:?}");
+        if said.iter().all(|outcome| outcome == "not-run") {
+            assert_eq!(count, 0, "{key} ran, but was answered {said:?}");
+        }
+        let last_not_run = said.last().is_some_and(|outcome| outcome == "not-run");
+        assert!(!(last_not_run && count > 0), "{key} ran, but was answered {said:?}");
+        ran += count;
+    }
+    assert!(ran as usize > count / 2, "only {ran} of {count} ran");
+}
+
+use std::future::Future;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_kill_of_a_leader_doubles_nothing() {
+    let mut system = System::start(3, 3).await;
+    let first = system.server("b-1", "book", "east").await;
+    let second = system.server("b-2", "book", "west").await;
+    system.wait_served(0, "book").await;
+    let leader = system.leader().await;
+    system.group.kill(leader).expect("killed");
+    book_through_trouble(&system, &[&first, &second], 60, async {}).await;
+    system.group.spawn(leader).expect("starts");
+    system.wait_served(leader, "book").await;
+    let next = system.leader().await;
+    system.group.signal(next, "STOP").expect("frozen");
+    let group = &system.group;
+    book_through_trouble(&system, &[&first, &second], 60, async {
+        pause(4_000).await;
+        group.signal(next, "CONT").expect("thawed");
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_kill_of_an_entry_doubles_nothing() {
+    let mut system = System::start(3, 3).await;
+    let slow = testkit::FakeBehaviour {
+        service_time: std::time::Duration::from_millis(600),
+        ..testkit::FakeBehaviour::default()
+    };
+    let first = system.server_with("b-1", "book", "east", slow.clone()).await;
+    let second = system.server_with("b-2", "book", "west", slow).await;
+    let servers = [&first, &second];
+    system.wait_served(0, "book").await;
+    // The entry is killed at moments before and after the first byte leaves.
+    for delay_ms in [0, 2, 5, 10, 100, 400] {
+        let key = new_key();
+        let (client, address) = (system.client.clone(), system.caller(0));
+        let request = testkit::HttpRequest::post("/v1/call/book/x", b"x".to_vec())
+            .with(types::header::IDEMPOTENCY_KEY, &key);
+        let sent = tokio::spawn(async move { client.send(address, request).await });
+        pause(delay_ms).await;
+        system.group.kill(0).expect("killed");
+        assert!(sent.await.expect("joined").is_err(), "the entry was killed first");
+        let again = system.book(1, &key, "x").await.expect("answers");
+        pause(800).await;
+        let count = runs(&servers, &key);
+        assert!(count <= 1, "{count} runs after {delay_ms} ms");
+        assert!(!(outcome(&again) == "not-run" && count > 0), "after {delay_ms} ms");
+        system.group.spawn(0).expect("starts");
+        system.wait_served(0, "book").await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_replica_with_a_wiped_disk_helps_no_second_claim_through() {
+    let mut system = System::start(3, 3).await;
+    let server = system.server("b-1", "book", "east").await;
+    system.wait_served(0, "book").await;
+    let key = new_key();
+    assert_eq!(system.book(0, &key, "x").await.expect("answers").status, 200);
+    // Two of three lose their processes, and one of these its disk: no quorum remembers the claim.
+    let leader = system.leader().await;
+    let (other, wiped) = ((leader + 1) % 3, (leader + 2) % 3);
+    system.group.kill(leader).expect("killed");
+    system.group.kill(wiped).expect("killed");
+    system.group.wipe(wiped).expect("wiped");
+    system.group.spawn(wiped).expect("starts");
+    for _ in 0..10 {
+        let answer = system.book(other, &key, "x").await.expect("answers");
+        assert_ne!(answer.status, 200);
+        assert_ne!(outcome(&answer), "not-run", "it ran");
+        pause(300).await;
+    }
+    assert_eq!(runs(&[&server], &key), 1);
+    // With the disk that remembers back, the system serves and still knows the claim.
+    system.group.spawn(leader).expect("starts");
+    system.wait_served(other, "book").await;
+    let answer = system.book(other, &key, "x").await.expect("answers");
+    assert_eq!((answer.status, outcome(&answer)), (409, "ran"));
+    assert_eq!(runs(&[&server], &key), 1);
+}
--- a/crates/types/src/document.rs
+++ b/crates/types/src/document.rs
@@ -240,6 +240,8 @@
 
 fn syntax_error(field: String, error: serde_json::Error) -> DocumentError {
     let (line, column) = (error.line(), error.column());
+    // The path is "." or "?" where the whole document is meant.
+    let field = if matches!(field.as_str(), "." | "?") { "document".to_owned() } else { field };
     let text = error.to_string();
     let reason = text.split(" at line ").next().unwrap_or(&text).to_owned();
     DocumentError::Syntax { line, column, field, reason }
