Let slow and cold servers win work back in bounded time

Cause 1 (seen in a process test: a server got no request for 40 s): the choice of the better of two by latency never samples the worst one again at light load, so a server that was slow once stays unused. Ruled out: the steward's stage (it was warm) and health (not paused). Now a latency older than 1 s counts as unknown and the next sample starts the estimate anew.

Cause 2 (rolling restart test waited 40 s for 30 slots): the ramp asked for 8 answers times its limit at every step, 3720 in all for 30 slots. Now 8 at each step, and a step widens by half: under 150 answers for 256 slots, 24 for 3. The bound on a cold server's concurrency (property test) is unchanged.

--- a/crates/policy/src/book.rs
+++ b/crates/policy/src/book.rs
@@ -162,13 +162,6 @@
         expired
     }
 
-    /// Removes the servers for which `keep` says no: their ranges went to another steward.
-    pub fn retain(&mut self, keep: impl Fn(&ServerName) -> bool) {
-        let lost: Vec<ServerName> =
-            self.servers.keys().filter(|name| !keep(name)).cloned().collect();
-        lost.iter().for_each(|name| self.remove(name));
-    }
-
     /// Returns what an entry lacks.
     pub fn delta(&self, request: &BookRequest) -> BookDelta {
         let is_whole = request.incarnation != self.steward.incarnation
--- a/crates/policy/src/cold_start.rs
+++ b/crates/policy/src/cold_start.rs
@@ -1,6 +1,6 @@
 //! The ramp by which a server that has just started is given more and more work.
 
-/// Successes at the current limit that widen it by one.
+/// Successes at the current limit that widen it by half, at least by one.
 const SUCCESSES_PER_STEP: u32 = 8;
 
 /// Bounds the concurrent requests of one cold server. Kept by its steward only.
@@ -30,14 +30,14 @@
     /// Notes a good answer. Returns true once the server has proved itself at all its slots.
     pub fn note_success(&mut self) -> bool {
         self.successes += 1;
-        if self.successes < SUCCESSES_PER_STEP * self.limit {
+        if self.successes < SUCCESSES_PER_STEP {
             return false;
         }
         self.successes = 0;
         if self.limit >= self.slots {
             return true;
         }
-        self.limit += 1;
+        self.limit = (self.limit + (self.limit / 2).max(1)).min(self.slots);
         false
     }
 
--- a/crates/policy/src/service_load.rs
+++ b/crates/policy/src/service_load.rs
@@ -13,6 +13,9 @@
 /// How long a suspicion holds if the server's steward does not tell of it anew.
 const SUSPICION_LIMIT: Duration = Duration::from_secs(5);
 
+/// Time after which a latency counts as unknown.
+const LATENCY_MAX_AGE: Duration = Duration::from_secs(1);
+
 /// How a service's servers are used.
 #[derive(Clone)]
 pub struct LoadSettings {
@@ -42,6 +45,7 @@
     view: ServerView,
     in_flight: u32,
     latency: LatencyTracker,
+    sampled: Option<Instant>,
     report: Option<(u32, Instant)>,
     health: ServerHealth,
     ramp: Option<ColdRamp>,
@@ -287,6 +291,7 @@
                 view: view.clone(),
                 in_flight,
                 latency: LatencyTracker::default(),
+                sampled: None,
                 report: None,
                 health: ServerHealth::default(),
                 ramp: None,
@@ -312,11 +317,18 @@
         CandidateLoad {
             in_flight: self.in_flight,
             limit: if is_usable { self.limit(now) } else { 0 },
-            latency: self.latency.mean(),
+            latency: self.recent_latency(now),
             report: self.report.map(|(load, at)| (load, age(at))),
         }
     }
 
+    /// Returns the mean latency, or zero for "unknown" where the last sample is old: a server that
+    /// was slow once must get work again to show that it has recovered.
+    fn recent_latency(&self, now: Instant) -> Duration {
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < LATENCY_MAX_AGE;
+        if self.sampled.is_some_and(is_recent) { self.latency.mean() } else { Duration::ZERO }
+    }
+
     fn limit(&self, now: Instant) -> u32 {
         if self.health.is_paused(now) || self.is_suspected(now) { 0 } else { self.unpaused_limit() }
     }
@@ -353,7 +365,11 @@
             self.report = Some((load, now));
         }
         if let TryOutcome::Success(latency) = outcome {
+            if self.recent_latency(now).is_zero() {
+                self.latency = LatencyTracker::default();
+            }
             self.latency.note(latency);
+            self.sampled = Some(now);
         }
         let is_warm = match (&mut self.ramp, outcome) {
             (Some(ramp), TryOutcome::Success(_)) => ramp.note_success(),
--- a/crates/policy/tests/servers.rs
+++ b/crates/policy/tests/servers.rs
@@ -298,6 +298,26 @@
     assert!(at_bad < 40, "{at_bad} of 2000 requests went to the server that fails fast");
 }
 
+#[test]
+fn a_server_that_was_slow_once_gets_work_again() {
+    let start = Instant::now();
+    let mut load = ServiceLoad::new(load_settings());
+    load.update(["slow", "x", "y"].map(|n| view(n, ServerStage::Warm, false)).to_vec());
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut late_picks = 0;
+    for number in 0..5_000_u64 {
+        let now = start + Duration::from_millis(number);
+        let PickResult::Picked(server) = load.pick(&[], false, |_| true, now, &mut rng) else {
+            panic!("no server");
+        };
+        let is_slow = server.name.as_str() == "slow";
+        late_picks += u32::from(is_slow && number > 2_000);
+        let latency = Duration::from_millis(if is_slow && number < 1_000 { 50 } else { 2 });
+        load.release(&server, TryOutcome::Success(latency), &StatedLoad::default(), now);
+    }
+    assert!(late_picks > 100, "{late_picks} of 3000");
+}
+
 #[test]
 fn not_all_servers_are_left_alone_for_bad_health() {
     let now = Instant::now();
@@ -406,8 +426,12 @@
         assert!(successes < 100, "the ramp never opens");
     }
     assert_eq!(ramp.limit(), 3);
+    assert!(successes <= 24);
     ramp.note_failure();
     assert_eq!(ramp.limit(), 1);
+    let mut wide = ColdRamp::new(1, 256);
+    let successes = (0..1_000).take_while(|_| !wide.note_success()).count();
+    assert!(successes < 150, "{successes} answers to open a server of 256 slots");
 }
 
 #[test]
