Keep servers served while their ranges change stewards

Cause: a rolling restart left callers with "no server has room" for seconds. The old steward dropped its servers as soon as it saw the new table, before entries had pulled the new steward's book; and a restarted entry that got its ranges back had an empty directory, so it could adopt nothing until the servers announced again (3 s). Ruled out: freshness (entries were open) and connections (none was refused).

Now the old steward keeps telling of such servers until their announcements run out, entries go by that only while the rightful steward is silent about a warm server, and a new steward adopts from every book it pulls.

--- /dev/null
+++ b/crates/daemon/tests/freshness.rs
@@ -0,0 +1,208 @@
+//! No entry starts work on a view older than two seconds; accepted changes never revert.
+
+mod system;
+
+use std::{future::Future, time::Duration};
+use system::{System, document, new_key, outcome, pause, wait_until};
+use types::{
+    ChangeAction, ChangeAnswer, ChangeId, ChangeRequest, DocumentVersion, FRESHNESS_LIMIT,
+    RefusalKind, TeamDocument,
+};
+use uuid::Uuid;
+
+fn limit_ms() -> u64 {
+    FRESHNESS_LIMIT.as_millis() as u64
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn without_a_majority_entries_close_and_with_it_they_open() {
+    let mut system = System::start(3, 4).await;
+    let server = system.server("l-1", "look", "east").await;
+    system.wait_served(3, "look").await;
+    system.group.kill(0).expect("killed");
+    system.group.kill(1).expect("killed");
+    pause(limit_ms() + 100).await;
+    let before = server.stats().received;
+    for _ in 0..20 {
+        let answer = system.look(3).await.expect("answers");
+        assert_eq!((answer.status, outcome(&answer)), (503, "not-run"));
+        assert!(!answer.header("retry-after").is_empty(), "says when to come back");
+        let keyed = system.book(3, &new_key(), "x").await.expect("answers");
+        assert_eq!((keyed.status, outcome(&keyed)), (503, "unknown"), "it cannot look the key up");
+    }
+    assert_eq!(server.stats().received, before);
+    system.group.spawn(0).expect("starts");
+    system.wait_served(3, "look").await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_frozen_entry_that_wakes_with_requests_in_hand_acts_on_no_old_view() {
+    let system = System::start(3, 4).await;
+    let drained = system.server("l-1", "look", "east").await;
+    let other = system.server("l-2", "look", "west").await;
+    system.wait_warm(3, 2).await;
+    system.group.signal(3, "STOP").expect("frozen");
+    // These wait in the sockets and queues of the frozen process.
+    let mut waiting = tokio::task::JoinSet::new();
+    for _ in 0..40 {
+        let (client, address) = (system.client.clone(), system.caller(3));
+        waiting.spawn(async move {
+            client.send(address, testkit::HttpRequest::get("/v1/call/look/x")).await
+        });
+    }
+    let answer = system.drain("east", 0).await;
+    assert!(matches!(answer, ChangeAnswer::Accepted { .. }));
+    pause(limit_ms()).await;
+    let before = drained.stats().received;
+    system.group.signal(3, "CONT").expect("thawed");
+    while waiting.join_next().await.is_some() {}
+    system.wait_served(3, "look").await;
+    for _ in 0..50 {
+        let _ = system.look(3).await;
+    }
+    assert_eq!(drained.stats().received, before, "the drained domain got new work");
+    assert!(other.stats().received > 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_frozen_leader_neither_stops_the_system_nor_reverts_a_change() {
+    let system = System::start(3, 4).await;
+    let _server = system.server("l-1", "look", "west").await;
+    system.wait_served(3, "look").await;
+    let leader = system.leader().await;
+    system.group.signal(leader, "STOP").expect("frozen");
+    // A new leader is found, and entries serve on.
+    let answer = system.drain("east", 0).await;
+    assert_eq!(answer, ChangeAnswer::Accepted { version: DocumentVersion(1) });
+    system.wait_served(3, "look").await;
+    system.group.signal(leader, "CONT").expect("thawed");
+    for _ in 0..20 {
+        let page =
+            system.operators.get::<operator::ViewPage>(&system.endpoint(3), "/v1/view").await;
+        let page = page.expect("answers");
+        assert!(page.drains.iter().any(|drain| drain.is_drained), "the change reverted");
+        pause(100).await;
+    }
+    // The old leader follows, and knows the change.
+    wait_until("the old leader has the change", || async {
+        let page = system.status(leader).await.and_then(|page| page.replica);
+        page.is_some_and(|replica| !replica.is_leader && replica.view.0 > 0)
+    })
+    .await;
+    let again = system.drain("east", 0).await;
+    let conflict = |answer: &ChangeAnswer| {
+        matches!(answer, ChangeAnswer::Refused { kind: RefusalKind::Conflict, .. })
+    };
+    assert!(conflict(&again), "{again:?}");
+}
+
+fn timed(timeout_ms: u32) -> TeamDocument {
+    document(timeout_ms)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn accepted_changes_survive_kills_of_the_leader_in_order() {
+    let mut system = System::start(3, 3).await;
+    let mut version = 1;
+    let mut changes = Vec::new();
+    for round in 0..4 {
+        let leader = system.leader().await;
+        for step in 0..5 {
+            let change = ChangeRequest {
+                id: ChangeId(Uuid::now_v7()),
+                expected_version: DocumentVersion(version),
+                action: ChangeAction::Document(timed(1_000 + 10 * round + step)),
+            };
+            if step == 3 {
+                system.group.kill(leader).expect("killed");
+            }
+            let answer = system.decide(&change).await;
+            version += 1;
+            assert_eq!(answer, ChangeAnswer::Accepted { version: DocumentVersion(version) });
+            changes.push((change, answer));
+        }
+        system.group.spawn(leader).expect("starts");
+    }
+    // Every change, resent after all that, gets its first answer again and changes nothing.
+    for (change, answer) in &changes {
+        assert_eq!(&system.decide(change).await, answer);
+    }
+    wait_until("all entries have the last document", || async {
+        let mut is_current = true;
+        for index in 0..3 {
+            let endpoint = system.endpoint(index);
+            let page = system.operators.get::<operator::ViewPage>(&endpoint, "/v1/view").await;
+            is_current &= page.is_ok_and(|page| {
+                page.documents.iter().all(|known| {
+                    known.version == DocumentVersion(version)
+                        && known.document == timed(1_000 + 10 * 3 + 4)
+                })
+            });
+        }
+        is_current
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn racing_operators_with_equal_versions_get_one_winner() {
+    let system = System::start(3, 3).await;
+    for round in 0..10_u64 {
+        let race = (0..3_u32).map(|number| {
+            let action = ChangeAction::Document(timed(2_000 + number));
+            system.change(1 + round, action)
+        });
+        let answers = futures(race).await;
+        let winners =
+            answers.iter().filter(|answer| matches!(answer, ChangeAnswer::Accepted { .. })).count();
+        assert_eq!(winners, 1, "{answers:?}");
+    }
+}
+
+/// Runs three futures at the same time.
+async fn futures<F: Future<Output = ChangeAnswer>>(
+    race: impl Iterator<Item = F>,
+) -> Vec<ChangeAnswer> {
+    let mut race = race.collect::<Vec<_>>().into_iter();
+    let mut next = || race.next().expect("three");
+    let (a, b, c) = tokio::join!(next(), next(), next());
+    vec![a, b, c]
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_group_survives_the_loss_of_any_one_disk_twice() {
+    let mut system = System::start(3, 3).await;
+    assert!(matches!(system.drain("east", 0).await, ChangeAnswer::Accepted { .. }));
+    for lost in [0, 1] {
+        let old = system.status(lost).await.and_then(|page| page.replica).expect("replica").id;
+        system.group.kill(lost).expect("killed");
+        system.group.wipe(lost).expect("wiped");
+        system.group.spawn(lost).expect("starts");
+        wait_until("the empty replica answers", || async { system.status(lost).await.is_some() })
+            .await;
+        let page = system.status(lost).await.expect("answers");
+        let new = page.replica.as_ref().expect("replica").id;
+        assert_ne!(new, old, "an empty disk is another replica");
+        let member = consensus::Member {
+            id: new,
+            host: page.process.clone(),
+            address: page.peer_address,
+            role: consensus::MemberRole::Learner,
+        };
+        for change in [
+            consensus::MembershipChange::AddLearner(member),
+            consensus::MembershipChange::Promote(new),
+            consensus::MembershipChange::Remove(old),
+        ] {
+            wait_until("the membership change is taken", || async {
+                let endpoint = system.endpoint(2);
+                system.operators.post::<_, ()>(&endpoint, "/v1/membership", &change).await.is_ok()
+            })
+            .await;
+        }
+        tokio::time::sleep(Duration::from_millis(300)).await;
+    }
+    let answer = system.drain("east", 0).await;
+    let is_conflict = matches!(answer, ChangeAnswer::Refused { kind: RefusalKind::Conflict, .. });
+    assert!(is_conflict, "the drain is remembered: {answer:?}");
+}
--- /dev/null
+++ b/crates/daemon/tests/lifecycle.rs
@@ -0,0 +1,308 @@
+//! Drains, leaving servers, cold starts, stewards that fail, and planned stops, with real processes.
+
+mod system;
+
+use caller::GuideAnswer;
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::{Duration, Instant},
+};
+use system::{System, outcome, pause, wait_until};
+use testkit::{FakeBehaviour, FakeMode, FakeServer, HttpClient, HttpRequest};
+use types::{ChangeAnswer, ServerState};
+
+/// The bound for drains and leaving servers: no new work later than this.
+const STOP_BOUND_MS: u64 = 3_000;
+
+/// Sends lookups to all entries in turn until it is stopped. Returns the answers that were neither
+/// whole nor a true refusal.
+async fn look_steadily(system: &System, stop: &AtomicBool) -> Vec<String> {
+    let mut bad = Vec::new();
+    let mut number = 0;
+    while !stop.load(Ordering::SeqCst) {
+        let index = number % system.group.processes.len();
+        number += 1;
+        match system.look(index).await {
+            Some(answer) if answer.status == 200 && answer.text().ends_with("end\n") => {}
+            Some(answer) if outcome(&answer) == "not-run" => {}
+            Some(answer) => bad.push(format!("{} {}", answer.status, answer.text())),
+            None => bad.push("broken".to_owned()),
+        }
+        pause(2).await;
+    }
+    bad
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_drained_domain_gets_no_new_work_and_returns() {
+    let system = System::start(3, 3).await;
+    let east = system.server("l-1", "look", "east").await;
+    let west = system.server("l-2", "look", "west").await;
+    for index in 0..3 {
+        system.wait_warm(index, 2).await;
+    }
+    let stop = AtomicBool::new(false);
+    let drill = async {
+        assert!(matches!(system.drain("east", 0).await, ChangeAnswer::Accepted { .. }));
+        pause(STOP_BOUND_MS).await;
+        let (before, other) = (east.stats().received, west.stats().received);
+        pause(1_500).await;
+        assert_eq!(east.stats().received, before, "new work after the bound");
+        assert!(west.stats().received > other, "the other domain serves");
+        let back = types::ChangeAction::Undrain("east".parse().expect("valid"));
+        assert!(matches!(system.change(1, back).await, ChangeAnswer::Accepted { .. }));
+        wait_until("the domain serves again", || async { east.stats().received > before }).await;
+        stop.store(true, Ordering::SeqCst);
+    };
+    let (bad, ()) = tokio::join!(look_steadily(&system, &stop), drill);
+    assert!(bad.is_empty(), "{bad:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leaving_server_gets_no_new_work() {
+    let system = System::start(3, 3).await;
+    let leaving = system.server("l-1", "look", "east").await;
+    let staying = system.server("l-2", "look", "west").await;
+    for index in 0..3 {
+        system.wait_warm(index, 2).await;
+    }
+    let stop = AtomicBool::new(false);
+    let drill = async {
+        leaving.set_state(ServerState::Leaving).await;
+        pause(STOP_BOUND_MS).await;
+        let before = leaving.stats().received;
+        pause(1_500).await;
+        assert_eq!(leaving.stats().received, before, "new work after the bound");
+        stop.store(true, Ordering::SeqCst);
+    };
+    let (bad, ()) = tokio::join!(look_steadily(&system, &stop), drill);
+    assert!(bad.is_empty(), "{bad:?}");
+    assert!(staying.stats().received > 0);
+}
+
+fn cold(requests: u32) -> FakeBehaviour {
+    FakeBehaviour {
+        cold_bears: 1,
+        cold_requests: requests,
+        service_time: Duration::from_millis(3),
+        ..FakeBehaviour::default()
+    }
+}
+
+async fn press(system: &System, until: impl Fn() -> bool) {
+    let started = Instant::now();
+    while !until() {
+        assert!(started.elapsed() < Duration::from_secs(40), "the servers never became warm");
+        let mut flying = tokio::task::JoinSet::new();
+        for index in 0..system.group.processes.len() {
+            for _ in 0..4 {
+                let (client, address) = (system.client.clone(), system.caller(index));
+                flying.spawn(async move {
+                    client.send(address, HttpRequest::get("/v1/call/look/x")).await
+                });
+            }
+        }
+        while flying.join_next().await.is_some() {}
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn cold_servers_are_not_pressed_by_all_entries_together() {
+    let system = System::start(3, 3).await;
+    // Eight good answers widen the ramp, so a server that needs eight is warm by then.
+    let servers = [
+        system.server_with("l-1", "look", "east", cold(8)).await,
+        system.server_with("l-2", "look", "west", cold(8)).await,
+        system.server_with("l-3", "look", "east", cold(8)).await,
+    ];
+    let all_warm =
+        |servers: &[FakeServer]| servers.iter().all(|server| server.stats().since_start > 60);
+    press(&system, || all_warm(&servers)).await;
+    // A whole failure domain returns at once: all its servers announce new, cold starts.
+    for server in &servers {
+        server.restart_silently();
+    }
+    for server in &servers {
+        server.set_state(ServerState::Ready).await;
+    }
+    pause(STOP_BOUND_MS).await;
+    let before: u64 = servers.iter().map(|server| server.stats().cold_overloads).sum();
+    assert_eq!(before, 0);
+    press(&system, || all_warm(&servers)).await;
+    for server in &servers {
+        assert_eq!(server.stats().cold_overloads, 0, "{}", server.name());
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_servers_of_a_killed_steward_are_served_again() {
+    let mut system = System::start(3, 4).await;
+    let mut servers = Vec::new();
+    for number in 0..6 {
+        servers.push(system.server(&format!("l-{number}"), "look", "west").await);
+    }
+    system.wait_warm(0, 6).await;
+    let page = system.status(0).await.and_then(|page| page.entry).expect("entry");
+    assert!(page.servers.iter().any(|row| row.steward.as_str() == "host-4"));
+    system.group.kill(3).expect("killed");
+    wait_until("all servers have living stewards and are warm", || async {
+        let page = system.status(0).await.and_then(|page| page.entry);
+        page.is_some_and(|entry| {
+            entry.servers.len() == 6
+                && entry.servers.iter().all(|row| {
+                    row.steward.as_str() != "host-4" && row.stage == types::ServerStage::Warm
+                })
+        })
+    })
+    .await;
+    let before: Vec<u64> = servers.iter().map(|server| server.stats().received).collect();
+    wait_until("all servers get work", || async {
+        let _ = system.look(0).await;
+        servers.iter().zip(&before).all(|(server, before)| server.stats().received > *before)
+    })
+    .await;
+}
+
+/// A caller that uses the guide as told: keeps its answer for its max-age, and not longer.
+struct GuidedCaller {
+    client: HttpClient,
+    known: Vec<SocketAddr>,
+    entry: Option<(SocketAddr, Instant)>,
+}
+
+impl GuidedCaller {
+    async fn entry(&mut self) -> SocketAddr {
+        if let Some((entry, until)) = self.entry
+            && Instant::now() < until
+        {
+            return entry;
+        }
+        for _ in 0..200 {
+            for address in self.known.clone() {
+                let request = HttpRequest::get("/v1/entries/look");
+                let asked = Instant::now();
+                let Ok(answer) = self.client.send(address, request).await else {
+                    continue;
+                };
+                let Ok(guide) = serde_json::from_slice::<GuideAnswer>(&answer.body) else {
+                    continue;
+                };
+                if let Some(first) = guide.entries.first() {
+                    let until = asked + Duration::from_secs(guide.max_age_s);
+                    self.entry = Some((first.address, until));
+                    return first.address;
+                }
+            }
+            pause(20).await;
+        }
+        panic!("no entry guides");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_rolling_restart_cuts_off_and_loses_no_request() {
+    let mut system = System::start(3, 3).await;
+    let slow = FakeBehaviour {
+        service_time: Duration::from_millis(30),
+        slots: 30,
+        ..FakeBehaviour::default()
+    };
+    let first = system.server_with("l-1", "look", "east", slow.clone()).await;
+    let second = system.server_with("l-2", "look", "west", slow).await;
+    for index in 0..3 {
+        system.wait_warm(index, 2).await;
+    }
+    let stop = Arc::new(AtomicBool::new(false));
+    let mut callers = tokio::task::JoinSet::new();
+    for _ in 0..8 {
+        let stop = stop.clone();
+        let known = system.group.processes.iter().map(|process| process.caller).collect();
+        let mut caller = GuidedCaller { client: system.client.clone(), known, entry: None };
+        callers.spawn(async move {
+            let (mut good, mut bad) = (0_u64, Vec::new());
+            while !stop.load(Ordering::SeqCst) {
+                let entry = caller.entry().await;
+                let sent = Instant::now();
+                match caller.client.send(entry, HttpRequest::get("/v1/call/look/x")).await {
+                    Ok(answer) if answer.status == 200 => good += 1,
+                    Ok(answer) => bad.push(format!("{} {}", answer.status, answer.text())),
+                    Err(error) => bad.push(format!("{entry} {error} after {:?}", sent.elapsed())),
+                }
+            }
+            (good, bad)
+        });
+    }
+    for index in 0..3 {
+        pause(500).await;
+        system.group.signal(index, "TERM").expect("asked to stop");
+        assert!(system.group.wait(index).expect("ends"), "host {index} stopped uncleanly");
+        system.group.spawn(index).expect("starts");
+        system.wait_served(index, "look").await;
+    }
+    stop.store(true, Ordering::SeqCst);
+    let mut total = 0;
+    while let Some(result) = callers.join_next().await {
+        let (good, bad) = result.expect("joined");
+        assert!(bad.is_empty(), "{} bad, first {:?}", bad.len(), bad.first());
+        total += good;
+    }
+    assert!(total > 500, "{total}");
+    assert_eq!(first.stats().cancelled + second.stats().cancelled, 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn answers_are_whole_and_belong_to_their_requests() {
+    let system = System::start(1, 1).await;
+    let server = system.server("l-1", "look", "east").await;
+    let other = system.server("l-2", "look", "west").await;
+    system.wait_warm(0, 2).await;
+    server.change(|behaviour| behaviour.mode = FakeMode::Truncate);
+    other.change(|behaviour| behaviour.padding = 100_000);
+    for _ in 0..60 {
+        let answer = system.look(0).await.expect("answers");
+        let id = answer.header(types::header::REQUEST_ID).to_owned();
+        if answer.status == 200 {
+            assert!(answer.text().contains(&id) && answer.text().ends_with("end\n"));
+        } else {
+            assert_ne!(answer.status, 200);
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn bad_input_of_callers_and_servers_is_refused_with_the_field() {
+    let system = System::start(1, 1).await;
+    let _server = system.server("l-1", "look", "east").await;
+    system.wait_served(0, "look").await;
+    let (caller, server) = (system.caller(0), system.group.processes[0].server);
+    let get = HttpRequest::get;
+    let long = "x".repeat(80);
+    let cases = [
+        (caller, get("/nothing"), 404, "path"),
+        (caller, get("/v1/call/LOOK/x"), 400, "service"),
+        (caller, get(&format!("/v1/call/{long}/x")), 400, "service"),
+        (caller, get("/v1/call/none/x"), 404, "service"),
+        (caller, get("/v1/call/look/x").with("hawthornhill-deadline-ms", "0"), 400, "deadline"),
+        (caller, get("/v1/call/look/x").with("hawthornhill-deadline-ms", "1e9"), 400, "deadline"),
+        (caller, get("/v1/call/look/x").with("idempotency-key", "7"), 400, "idempotency-key"),
+        (caller, get("/v1/call/look/x").with("hawthornhill-request-id", "z"), 400, "request-id"),
+        (caller, HttpRequest::post("/v1/call/look/x", vec![0; 2_000_000]), 413, "body"),
+        (server, HttpRequest::post("/v1/servers", b"{}".to_vec()), 400, "server"),
+        (server, HttpRequest::post("/v1/servers", vec![b'['; 5_000]), 413, "announcement"),
+        (server, HttpRequest::post("/v1/servers", vec![0xff, 0xfe]), 400, "announcement"),
+        (server, get("/v1/servers"), 405, "POST"),
+    ];
+    for (address, request, status, field) in cases {
+        let path = request.path.clone();
+        let answer = HttpClient::default().send(address, request).await.expect("answers");
+        assert_eq!(answer.status, status, "{path}");
+        assert!(answer.text().contains(field), "{path}: {}", answer.text());
+        if address == caller {
+            assert_eq!(outcome(&answer), "not-run", "{path}");
+        }
+    }
+}
--- a/crates/entry/src/roster.rs
+++ b/crates/entry/src/roster.rs
@@ -21,7 +21,7 @@
     time::{Duration, Instant},
 };
 use types::{
-    Announcement, BookDelta, BookRequest, ClusterView, EntryInfo, EntryName, HostName,
+    Announcement, BookChange, BookDelta, BookRequest, ClusterView, EntryInfo, EntryName, HostName,
     ServerIncarnation, ServerName, ServerStage, ServiceName, StewardBeat, StewardId, SuspectKind,
     SuspectReport,
 };
@@ -242,6 +242,13 @@
             let changed = self.directory.lock().apply(&delta, asked);
             self.clock(&steward.entry).confirm(asked);
             self.refresh(changed);
+            let told = delta.changes.iter().filter_map(|change| match change {
+                BookChange::Put(record) => Some(record),
+                BookChange::Remove(_) => None,
+            });
+            if self.desk.adopt(told) {
+                self.publish();
+            }
             if !is_progress || !is_full || since == NO_VERSION {
                 return;
             }
--- a/crates/entry/src/steward.rs
+++ b/crates/entry/src/steward.rs
@@ -9,7 +9,7 @@
     time::{Duration, Instant},
 };
 use types::{
-    Announcement, BookDelta, BookRequest, ClusterView, FRESHNESS_LIMIT, RangeIndex,
+    Announcement, BookDelta, BookRequest, ClusterView, FRESHNESS_LIMIT, RangeIndex, RangeLease,
     ServerIncarnation, ServerName, ServerRecord, ServerStage, ServiceName, StewardBeat,
     SuspectReport, server_range,
 };
@@ -35,32 +35,40 @@
         Self { context, book, ranges: Mutex::default() }
     }
 
-    /// Takes new ranges over, with the servers that their former stewards told of, and drops those
-    /// that went to others.
+    /// Takes new ranges over, with the servers that their former stewards told of.
+    ///
+    /// Servers in ranges that went to others stay in the book until their announcements run out:
+    /// entries go by it until the new steward tells of them.
     pub(crate) fn view_changed(
         &self,
         view: &ClusterView,
         known: &BTreeMap<&ServerName, &ServerRecord>,
     ) {
         let (name, now) = (self.context.name(), Instant::now());
-        let mut ranges = self.ranges.lock();
-        let mut gained = Vec::new();
-        let mut current = BTreeMap::new();
-        for (range, lease) in view.ranges_of(&name) {
-            let own = ranges.get(&range).copied().unwrap_or_else(|| {
-                gained.push(range);
-                OwnRange { acquired: now, is_first: lease.is_first }
-            });
-            current.insert(range, own);
+        {
+            let mut ranges = self.ranges.lock();
+            let own = |(range, lease): (RangeIndex, &RangeLease)| {
+                let gained = OwnRange { acquired: now, is_first: lease.is_first };
+                (range, ranges.get(&range).copied().unwrap_or(gained))
+            };
+            let current = view.ranges_of(&name).map(own).collect();
+            *ranges = current;
         }
-        *ranges = current;
+        self.adopt(known.values().copied());
+    }
+
+    /// Takes servers over that lie in this entry's ranges and that its book does not have. Returns
+    /// whether there are any.
+    pub(crate) fn adopt<'a>(&self, records: impl Iterator<Item = &'a ServerRecord>) -> bool {
+        let ranges = self.ranges.lock();
         let mut book = self.book.lock();
-        book.retain(|server| ranges.contains_key(&server_range(server)));
-        for (server, record) in known {
-            if gained.contains(&server_range(server)) {
+        let (before, now) = (book.version(), Instant::now());
+        for record in records {
+            if ranges.contains_key(&server_range(&record.announcement.server)) {
                 book.adopt(record, now);
             }
         }
+        book.version() != before
     }
 
     /// Takes an announcement in.
@@ -86,9 +94,12 @@
         self.book.lock().suspect(report)
     }
 
-    /// Removes the servers whose announcements have run out, and returns them.
+    /// Removes the servers whose announcements have run out, and returns those in own ranges.
     pub(crate) fn expire(&self) -> Vec<ServerName> {
-        self.book.lock().expire(Instant::now())
+        let mut expired = self.book.lock().expire(Instant::now());
+        let ranges = self.ranges.lock();
+        expired.retain(|server| ranges.contains_key(&server_range(server)));
+        expired
     }
 
     pub(crate) fn beat(&self) -> StewardBeat {
