--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -89,7 +89,7 @@
 }
 
 /// The answer to a command.
-#[derive(Debug, Clone, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum SubmitAnswer {
     /// Committed and applied.
     Applied(CommandAnswer),
--- /dev/null
+++ b/crates/replica/tests/driver.rs
@@ -0,0 +1,294 @@
+//! The replica's thread: freshness through cuts, a disk that refuses, restarts after many changes.
+
+use async_trait::async_trait;
+use consensus::{CoreSettings, Member, MemberRole, ReplicaId, Restored};
+use hawthornhill_replica::{
+    FileStore, LogBatch, ReplicaHandle, ReplicaSettings, ReplicaStore, StoreError, start_replica,
+};
+use peer::{FreshnessAnswer, FreshnessRequest, PeerAnswer, PeerHandler, PeerRequest, SubmitAnswer};
+use platform::{EventTimeline, LogFormat, MetricsRegistry, TimerService, root_logger};
+use std::{
+    io,
+    net::SocketAddr,
+    path::Path,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::{Duration, Instant},
+};
+use tempfile::{TempDir, tempdir};
+use testkit::{LinkSwitch, MemoryNet};
+use types::{
+    ChangeAction, ChangeAnswer, ChangeId, ChangeRequest, Command, CommandAnswer, DocumentVersion,
+    EntryIncarnation, EntryInfo, HostName, ViewVersion,
+};
+use uuid::Uuid;
+
+struct Handler(ReplicaHandle);
+
+#[async_trait]
+impl PeerHandler for Handler {
+    async fn handle(&self, host: &HostName, request: PeerRequest) -> PeerAnswer {
+        self.0.handle(host, request).await.unwrap_or(PeerAnswer::Done)
+    }
+}
+
+fn address(number: u64) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], number as u16))
+}
+
+fn host(number: u64) -> HostName {
+    format!("host-{number}").parse().expect("valid")
+}
+
+struct Node {
+    handle: ReplicaHandle,
+    switch: Arc<LinkSwitch>,
+    identity: ReplicaId,
+}
+
+struct Cluster {
+    net: MemoryNet,
+    nodes: Vec<Node>,
+    folders: Vec<TempDir>,
+}
+
+fn start(
+    net: &MemoryNet,
+    number: u64,
+    store: Box<dyn ReplicaStore>,
+    identity: ReplicaId,
+    restored: Restored,
+) -> Node {
+    let switch = LinkSwitch::new(net.link(host(number)));
+    let settings = ReplicaSettings {
+        identity,
+        host: host(number),
+        address: address(number),
+        core: CoreSettings { seed: number, ..CoreSettings::default() },
+        link: switch.clone(),
+        timer: TimerService::start(),
+        timeline: EventTimeline::new("test"),
+        counters: MetricsRegistry::default().decisions("replica", "test"),
+        logger: root_logger(LogFormat::Terminal, "test"),
+    };
+    let handle = start_replica(settings, store, restored).expect("starts");
+    net.register(address(number), Arc::new(Handler(handle.clone())));
+    Node { handle, switch, identity }
+}
+
+fn open(folder: &Path, number: u64) -> (FileStore, Restored) {
+    FileStore::open(folder, ReplicaId(number)).expect("opens")
+}
+
+impl Cluster {
+    async fn start(count: u64) -> Self {
+        let net = MemoryNet::default();
+        let (mut nodes, mut folders) = (Vec::new(), Vec::new());
+        for number in 1..=count {
+            let folder = tempdir().expect("folder");
+            let (store, restored) = open(folder.path(), number);
+            let identity = store.identity();
+            nodes.push(start(&net, number, Box::new(store), identity, restored));
+            folders.push(folder);
+        }
+        let cluster = Self { net, nodes, folders };
+        cluster.bootstrap().await;
+        cluster
+    }
+
+    async fn bootstrap(&self) {
+        let members: Vec<Member> = (1..)
+            .zip(&self.nodes)
+            .map(|(number, node)| Member {
+                id: node.identity,
+                host: host(number),
+                address: address(number),
+                role: MemberRole::Voter,
+            })
+            .collect();
+        for node in &self.nodes {
+            node.handle.bootstrap(members.clone()).await.expect("formed");
+        }
+    }
+
+    async fn leader(&self) -> usize {
+        for _ in 0..400 {
+            for (index, node) in self.nodes.iter().enumerate() {
+                if node.handle.status().await.is_ok_and(|status| status.is_leader) {
+                    return index;
+                }
+            }
+            pause(25).await;
+        }
+        panic!("no leader");
+    }
+
+    fn isolate(&self, lone: usize) {
+        for (index, node) in self.nodes.iter().enumerate() {
+            if index == lone {
+                (0..self.nodes.len() as u64).for_each(|n| node.switch.cut(address(n + 1)));
+            } else {
+                node.switch.cut(address(lone as u64 + 1));
+            }
+        }
+    }
+}
+
+async fn pause(ms: u64) {
+    tokio::time::sleep(Duration::from_millis(ms)).await;
+}
+
+fn freshness_request() -> FreshnessRequest {
+    let entry = EntryInfo {
+        name: "entry".parse().expect("valid"),
+        domain: "d".parse().expect("valid"),
+        incarnation: EntryIncarnation(1),
+        caller_address: address(1),
+        server_address: address(1),
+        peer_address: address(1),
+        operator_address: address(1),
+        serving: true,
+    };
+    FreshnessRequest { entry, version: ViewVersion(0) }
+}
+
+fn drain(number: u128, expected: u64) -> Command {
+    Command::Change(ChangeRequest {
+        id: ChangeId(Uuid::from_u128(number)),
+        expected_version: DocumentVersion(expected),
+        action: ChangeAction::Drain("d".parse().expect("valid")),
+    })
+}
+
+fn is_accepted(answer: &SubmitAnswer, version: u64) -> bool {
+    let accepted = ChangeAnswer::Accepted { version: DocumentVersion(version) };
+    *answer == SubmitAnswer::Applied(CommandAnswer::Change(accepted))
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_cut_off_leader_renews_no_view_and_accepts_no_change() {
+    let cluster = Cluster::start(3).await;
+    let old = cluster.leader().await;
+    let granted = cluster.nodes[old].handle.freshness(freshness_request()).await;
+    assert!(matches!(granted, FreshnessAnswer::Granted(_)), "{granted:?}");
+    cluster.isolate(old);
+    // Asked at the moment of the cut, while it believes to lead.
+    let (view, change) = tokio::join!(
+        cluster.nodes[old].handle.freshness(freshness_request()),
+        cluster.nodes[old].handle.submit(drain(1, 0)),
+    );
+    assert!(matches!(view, FreshnessAnswer::NotLeader(_)), "{view:?}");
+    assert!(!is_accepted(&change, 1), "{change:?}");
+    let new = cluster.leader().await;
+    assert_ne!(new, old);
+    let change = cluster.nodes[new].handle.submit(drain(2, 0)).await;
+    assert!(is_accepted(&change, 1), "{change:?}");
+    cluster.nodes.iter().for_each(|node| node.switch.heal());
+    pause(1_500).await;
+    let view = cluster.nodes[old].handle.view();
+    assert!(view.is_drained(&"d".parse().expect("valid")), "the old leader follows");
+    let status = cluster.nodes[old].handle.status().await.expect("runs");
+    assert_eq!(status.commit, cluster.nodes[new].handle.status().await.expect("runs").commit);
+}
+
+/// A store whose disk is full while the flag is set.
+struct FullStore {
+    inner: FileStore,
+    is_full: Arc<AtomicBool>,
+}
+
+impl FullStore {
+    fn check(&self) -> Result<(), StoreError> {
+        if self.is_full.load(Ordering::SeqCst) {
+            let source = io::ErrorKind::StorageFull.into();
+            return Err(StoreError::File { path: "log".into(), source });
+        }
+        Ok(())
+    }
+}
+
+impl ReplicaStore for FullStore {
+    fn append(&mut self, batch: &LogBatch) -> Result<(), StoreError> {
+        self.check()?;
+        self.inner.append(batch)
+    }
+
+    fn replace(
+        &mut self,
+        image: &consensus::SnapshotImage,
+        batch: &LogBatch,
+    ) -> Result<(), StoreError> {
+        self.check()?;
+        self.inner.replace(image, batch)
+    }
+
+    fn log_bytes(&self) -> u64 {
+        self.inner.log_bytes()
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_replica_with_a_full_disk_refuses_stays_alive_and_recovers() {
+    let net = MemoryNet::default();
+    let folder = tempdir().expect("folder");
+    let (store, restored) = open(folder.path(), 1);
+    let identity = store.identity();
+    let is_full = Arc::new(AtomicBool::new(false));
+    let store = FullStore { inner: store, is_full: is_full.clone() };
+    let node = start(&net, 1, Box::new(store), identity, restored);
+    let cluster = Cluster { net, nodes: vec![node], folders: vec![folder] };
+    cluster.bootstrap().await;
+    let handle = cluster.nodes[cluster.leader().await].handle.clone();
+    assert!(is_accepted(&handle.submit(drain(1, 0)).await, 1));
+    is_full.store(true, Ordering::SeqCst);
+    // The first finds the disk full after it was taken; its fate is not known.
+    assert_eq!(handle.submit(drain(2, 1)).await, SubmitAnswer::Unknown);
+    assert!(matches!(handle.submit(drain(3, 1)).await, SubmitAnswer::Refused(_)));
+    let view = handle.freshness(freshness_request()).await;
+    assert!(matches!(view, FreshnessAnswer::NotLeader(_)), "{view:?}");
+    assert!(handle.status().await.expect("alive").is_stalled);
+    is_full.store(false, Ordering::SeqCst);
+    pause(300).await;
+    assert!(!handle.status().await.expect("alive").is_stalled);
+    cluster.leader().await;
+    let again = handle.submit(drain(2, 1)).await;
+    assert!(is_accepted(&again, 2), "{again:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_restart_after_a_thousand_changes_forgets_none() {
+    let mut cluster = Cluster::start(1).await;
+    let handle = cluster.nodes[cluster.leader().await].handle.clone();
+    for number in 0..1_000 {
+        let answer = handle.submit(drain(u128::from(number) + 1, number)).await;
+        assert!(is_accepted(&answer, number + 1), "{answer:?}");
+    }
+    handle.stop().await;
+    drop(handle);
+    let node = cluster.nodes.remove(0);
+    drop(node);
+    let folder = cluster.folders[0].path().to_owned();
+    let started = Instant::now();
+    let (store, restored) = loop {
+        // The thread of the stopped replica closes its files a moment after its answer.
+        match FileStore::open(&folder, ReplicaId(9)) {
+            Ok(opened) => break opened,
+            Err(StoreError::InUse { .. }) if started.elapsed() < Duration::from_secs(20) => {
+                pause(10).await;
+            }
+            Err(error) => panic!("{error}"),
+        }
+    };
+    let identity = store.identity();
+    assert_eq!(identity, ReplicaId(1), "the identity of the disk");
+    cluster.nodes.push(start(&cluster.net, 1, Box::new(store), identity, restored));
+    let handle = cluster.nodes[cluster.leader().await].handle.clone();
+    for number in [0, 499, 999] {
+        let answer = handle.submit(drain(u128::from(number) + 1, number)).await;
+        assert!(is_accepted(&answer, number + 1), "resent: {answer:?}");
+    }
+    let version = handle.view().drain_version(&"d".parse().expect("valid"));
+    assert_eq!(version, DocumentVersion(1_000));
+}
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -7,6 +7,7 @@
 mod http_client;
 mod link_switch;
 mod load_driver;
+mod memory_net;
 mod process_group;
 
 pub use announcer::announce;
@@ -15,4 +16,5 @@
 pub use http_client::{HttpAnswer, HttpClient, HttpRequest};
 pub use link_switch::LinkSwitch;
 pub use load_driver::{LoadPlan, LoadReportCard, run_load};
+pub use memory_net::MemoryNet;
 pub use process_group::{GroupSettings, ProcessGroup, free_addresses};
