Publish the view once a batch instead of at every change

Cause: replaying 50,000 changes after a restart took 1.8 s beyond the election timeout, as every applied change cloned the whole view.

--- a/crates/replica/src/driver.rs
+++ b/crates/replica/src/driver.rs
@@ -373,6 +373,7 @@
         for entry in effects.committed.drain(..) {
             self.apply(entry);
         }
+        self.publish_view();
         self.ready_reads.append(&mut effects.reads);
         self.finish_freshness();
         for token in effects.failed_reads.drain(..) {
@@ -414,7 +415,6 @@
                 self.state = state;
                 self.applied = image.index;
                 self.snapshot_bytes = image.state.len() as u64;
-                self.publish_view();
                 info!(self.settings.logger, "snapshot installed"; "index" => image.index.0);
             }
             Err(error) => {
@@ -452,12 +452,8 @@
                 CommandAnswer::Done
             }
             LogPayload::Command(command) => {
-                let before = self.state.view().version;
                 let answer = self.state.apply(entry.time, command);
                 debug_assert_eq!(self.state.view().verify(), Ok(()));
-                if self.state.view().version != before {
-                    self.publish_view();
-                }
                 self.record_decision(command, &answer);
                 answer
             }
@@ -493,8 +489,11 @@
         self.settings.timeline.record(kind, tags, detail);
     }
 
+    /// Makes the state's view known to other threads, if it has changed.
     fn publish_view(&self) {
-        *self.view.write() = Arc::new(self.state.view().clone());
+        if self.view.read().version != self.state.view().version {
+            *self.view.write() = Arc::new(self.state.view().clone());
+        }
     }
 
     fn finish_freshness(&mut self) {
