Probe own servers within their budget, and bound the wait for a server

Probes: the document's probes_per_minute had no effect. Now the steward alone probes warm servers that have not answered it lately, only to find those that cannot be reached; a new steward first waits until the old one's view has run out. Test with stewards frozen, thawed, killed and restarted: within budget in every 5 s window.

Waits: cause of p99 at the deadline (994 ms) and of late "unknown" answers above capacity: requests waited for a server as long as any time was left.

--- a/crates/daemon/tests/at_most_once.rs
+++ b/crates/daemon/tests/at_most_once.rs
@@ -1,14 +1,14 @@
 //! Requests that may not be repeated run at most once, and "not run" is true, with real processes.
 
-mod system;
+use std::{collections::BTreeMap, future::Future};
+use testkit::{FakeMode, System, new_key, outcome, pause, runs};
 
-use std::collections::BTreeMap;
-use system::{System, new_key, outcome, pause, runs};
-use testkit::FakeMode;
+/// The program under test.
+const PROGRAM: &str = env!("CARGO_BIN_EXE_hawthornhill");
 
 #[tokio::test(flavor = "multi_thread")]
 async fn racing_and_resent_bookings_run_once() {
-    let system = System::start(3, 3).await;
+    let system = System::start(PROGRAM, 3, 3).await;
     let first = system.server("b-1", "book", "east").await;
     let second = system.server("b-2", "book", "west").await;
     let servers = [&first, &second];
@@ -55,7 +55,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_booking_is_not_sent_again_when_its_answer_is_lost() {
-    let system = System::start(3, 2).await;
+    let system = System::start(PROGRAM, 3, 2).await;
     let first = system.server("b-1", "book", "east").await;
     let second = system.server("b-2", "book", "west").await;
     let servers = [&first, &second];
@@ -129,11 +129,9 @@
     assert!(ran as usize > count / 2, "only {ran} of {count} ran");
 }
 
-use std::future::Future;
-
 #[tokio::test(flavor = "multi_thread")]
 async fn the_kill_of_a_leader_doubles_nothing() {
-    let mut system = System::start(3, 3).await;
+    let mut system = System::start(PROGRAM, 3, 3).await;
     let first = system.server("b-1", "book", "east").await;
     let second = system.server("b-2", "book", "west").await;
     system.wait_served(0, "book").await;
@@ -154,7 +152,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn the_kill_of_an_entry_doubles_nothing() {
-    let mut system = System::start(3, 3).await;
+    let mut system = System::start(PROGRAM, 3, 3).await;
     let slow = testkit::FakeBehaviour {
         service_time: std::time::Duration::from_millis(600),
         ..testkit::FakeBehaviour::default()
@@ -185,7 +183,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_replica_with_a_wiped_disk_helps_no_second_claim_through() {
-    let mut system = System::start(3, 3).await;
+    let mut system = System::start(PROGRAM, 3, 3).await;
     let server = system.server("b-1", "book", "east").await;
     system.wait_served(0, "book").await;
     let key = new_key();
--- a/crates/daemon/tests/freshness.rs
+++ b/crates/daemon/tests/freshness.rs
@@ -1,22 +1,23 @@
 //! No entry starts work on a view older than two seconds; accepted changes never revert.
 
-mod system;
-
 use std::{future::Future, time::Duration};
-use system::{System, document, new_key, outcome, pause, wait_until};
+use testkit::{System, document, new_key, outcome, pause, wait_until};
 use types::{
     ChangeAction, ChangeAnswer, ChangeId, ChangeRequest, DocumentVersion, FRESHNESS_LIMIT,
     RefusalKind, TeamDocument,
 };
 use uuid::Uuid;
 
+/// The program under test.
+const PROGRAM: &str = env!("CARGO_BIN_EXE_hawthornhill");
+
 fn limit_ms() -> u64 {
     FRESHNESS_LIMIT.as_millis() as u64
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn without_a_majority_entries_close_and_with_it_they_open() {
-    let mut system = System::start(3, 4).await;
+    let mut system = System::start(PROGRAM, 3, 4).await;
     let server = system.server("l-1", "look", "east").await;
     system.wait_served(3, "look").await;
     system.group.kill(0).expect("killed");
@@ -37,7 +38,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_frozen_entry_that_wakes_with_requests_in_hand_acts_on_no_old_view() {
-    let system = System::start(3, 4).await;
+    let system = System::start(PROGRAM, 3, 4).await;
     let drained = system.server("l-1", "look", "east").await;
     let other = system.server("l-2", "look", "west").await;
     system.wait_warm(3, 2).await;
@@ -66,7 +67,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_frozen_leader_neither_stops_the_system_nor_reverts_a_change() {
-    let system = System::start(3, 4).await;
+    let system = System::start(PROGRAM, 3, 4).await;
     let _server = system.server("l-1", "look", "west").await;
     system.wait_served(3, "look").await;
     let leader = system.leader().await;
@@ -102,7 +103,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn accepted_changes_survive_kills_of_the_leader_in_order() {
-    let mut system = System::start(3, 3).await;
+    let mut system = System::start(PROGRAM, 3, 3).await;
     let mut version = 1;
     let mut changes = Vec::new();
     for round in 0..4 {
@@ -146,7 +147,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn racing_operators_with_equal_versions_get_one_winner() {
-    let system = System::start(3, 3).await;
+    let system = System::start(PROGRAM, 3, 3).await;
     for round in 0..10_u64 {
         let race = (0..3_u32).map(|number| {
             let action = ChangeAction::Document(timed(2_000 + number));
@@ -171,7 +172,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn the_group_survives_the_loss_of_any_one_disk_twice() {
-    let mut system = System::start(3, 3).await;
+    let mut system = System::start(PROGRAM, 3, 3).await;
     assert!(matches!(system.drain("east", 0).await, ChangeAnswer::Accepted { .. }));
     for lost in [0, 1] {
         let old = system.status(lost).await.and_then(|page| page.replica).expect("replica").id;
--- a/crates/daemon/tests/lifecycle.rs
+++ b/crates/daemon/tests/lifecycle.rs
@@ -1,7 +1,5 @@
 //! Drains, leaving servers, cold starts, stewards that fail, and planned stops, with real processes.
 
-mod system;
-
 use caller::GuideAnswer;
 use std::{
     net::SocketAddr,
@@ -11,10 +9,15 @@
     },
     time::{Duration, Instant},
 };
-use system::{System, outcome, pause, wait_until};
-use testkit::{FakeBehaviour, FakeMode, FakeServer, HttpClient, HttpRequest};
+use testkit::{
+    FakeBehaviour, FakeMode, FakeServer, HttpClient, HttpRequest, System, outcome, pause,
+    wait_until,
+};
 use types::{ChangeAnswer, ServerState};
 
+/// The program under test.
+const PROGRAM: &str = env!("CARGO_BIN_EXE_hawthornhill");
+
 /// The bound for drains and leaving servers: no new work later than this.
 const STOP_BOUND_MS: u64 = 3_000;
 
@@ -39,7 +42,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_drained_domain_gets_no_new_work_and_returns() {
-    let system = System::start(3, 3).await;
+    let system = System::start(PROGRAM, 3, 3).await;
     let east = system.server("l-1", "look", "east").await;
     let west = system.server("l-2", "look", "west").await;
     for index in 0..3 {
@@ -64,7 +67,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_leaving_server_gets_no_new_work() {
-    let system = System::start(3, 3).await;
+    let system = System::start(PROGRAM, 3, 3).await;
     let leaving = system.server("l-1", "look", "east").await;
     let staying = system.server("l-2", "look", "west").await;
     for index in 0..3 {
@@ -112,7 +115,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn cold_servers_are_not_pressed_by_all_entries_together() {
-    let system = System::start(3, 3).await;
+    let system = System::start(PROGRAM, 3, 3).await;
     // Eight good answers widen the ramp, so a server that needs eight is warm by then.
     let servers = [
         system.server_with("l-1", "look", "east", cold(8)).await,
@@ -140,7 +143,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn the_servers_of_a_killed_steward_are_served_again() {
-    let mut system = System::start(3, 4).await;
+    let mut system = System::start(PROGRAM, 3, 4).await;
     let mut servers = Vec::new();
     for number in 0..6 {
         servers.push(system.server(&format!("l-{number}"), "look", "west").await);
@@ -167,6 +170,51 @@
     .await;
 }
 
+/// Probes allowed for each server, a minute, and the window in which they are counted.
+const PROBES_PER_MINUTE: u64 = 240;
+const PROBE_WINDOW: Duration = Duration::from_secs(5);
+
+#[tokio::test(flavor = "multi_thread")]
+async fn probes_stay_within_the_budget_while_stewards_change() {
+    let mut system = System::start(PROGRAM, 3, 4).await;
+    let mut probed = testkit::document(5_000);
+    probed.services[0].probes_per_minute = PROBES_PER_MINUTE as u16;
+    let answer = system.change(1, types::ChangeAction::Document(probed)).await;
+    assert!(matches!(answer, ChangeAnswer::Accepted { .. }));
+    let mut servers = Vec::new();
+    for number in 0..6 {
+        servers.push(system.server(&format!("l-{number}"), "look", "west").await);
+    }
+    system.wait_warm(0, 6).await;
+    let mut counts: Vec<Vec<(Instant, u64)>> = vec![Vec::new(); servers.len()];
+    let started = Instant::now();
+    let mut step = 0;
+    while started.elapsed() < Duration::from_secs(16) {
+        for (server, counts) in servers.iter().zip(&mut counts) {
+            counts.push((Instant::now(), server.stats().probes));
+        }
+        // Stewards are frozen, thawed, killed and started again meanwhile.
+        match (step, started.elapsed().as_secs()) {
+            (0, 3..) => system.group.signal(3, "STOP").expect("frozen"),
+            (1, 7..) => system.group.signal(3, "CONT").expect("thawed"),
+            (2, 9..) => system.group.kill(2).expect("killed"),
+            (3, 12..) => system.group.spawn(2).expect("starts"),
+            _ => step -= 1,
+        }
+        step += 1;
+        pause(50).await;
+    }
+    let allowed = PROBES_PER_MINUTE * PROBE_WINDOW.as_secs() / 60 + 1;
+    for (server, counts) in servers.iter().zip(&counts) {
+        for (at, before) in counts {
+            let in_window = counts.iter().filter(|(later, _)| *later <= *at + PROBE_WINDOW);
+            let after = in_window.map(|(_, count)| *count).max().unwrap_or(*before);
+            assert!(after - before <= allowed, "{}: {}", server.name(), after - before);
+        }
+        assert!(server.stats().probes > 4, "{} was hardly probed", server.name());
+    }
+}
+
 /// A caller that uses the guide as told: keeps its answer for its max-age, and not longer.
 struct GuidedCaller {
     client: HttpClient,
@@ -205,7 +253,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_rolling_restart_cuts_off_and_loses_no_request() {
-    let mut system = System::start(3, 3).await;
+    let mut system = System::start(PROGRAM, 3, 3).await;
     let slow = FakeBehaviour {
         service_time: Duration::from_millis(30),
         slots: 30,
@@ -256,7 +304,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn answers_are_whole_and_belong_to_their_requests() {
-    let system = System::start(1, 1).await;
+    let system = System::start(PROGRAM, 1, 1).await;
     let server = system.server("l-1", "look", "east").await;
     let other = system.server("l-2", "look", "west").await;
     system.wait_warm(0, 2).await;
@@ -275,7 +323,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn bad_input_of_callers_and_servers_is_refused_with_the_field() {
-    let system = System::start(1, 1).await;
+    let system = System::start(PROGRAM, 1, 1).await;
     let _server = system.server("l-1", "look", "east").await;
     system.wait_served(0, "look").await;
     let (caller, server) = (system.caller(0), system.group.processes[0].server);
--- a/crates/entry/src/lane.rs
+++ b/crates/entry/src/lane.rs
@@ -24,6 +24,11 @@
 /// Least time between two requests that an entry hands over to warm a service's cold servers.
 const WARM_UP_INTERVAL: Duration = Duration::from_millis(10);
 
+/// A request is refused at once if it is expected to wait longer than this part of its time.
+const EXPECTED_WAIT_DIVISOR: u32 = 4;
+/// A request that has waited this part of its time is refused.
+const WAIT_DIVISOR: u32 = 2;
+
 /// Says why no server could be had.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum AcquireError {
@@ -192,6 +197,11 @@
         stewards.into_iter().nth(chosen)
     }
 
+    /// Says whether a server has answered a request of this entry lately.
+    pub(crate) fn has_answered_lately(&self, server: &ServerName, now: Instant) -> bool {
+        self.state.lock().load.has_answered_lately(server, now)
+    }
+
     /// Returns the stewards that may give cold servers work, if this entry may give none any.
     pub(crate) fn stewards_instead(&self) -> Option<SmallVec<[EntryName; 2]>> {
         let observer = self.observer.upgrade()?;
@@ -210,6 +220,7 @@
         prefers_cold: bool,
         deadline: Instant,
     ) -> Result<ServerPermit, AcquireError> {
+        let give_up;
         let receiver = {
             let mut state = self.state.lock();
             if state.waiting.is_empty() {
@@ -224,15 +235,17 @@
             let now = Instant::now();
             let capacity = state.load.capacity(now);
             let wait = expected_wait(state.waiting.len(), capacity, state.latency.mean());
-            // A request that could not be answered in time anyway is refused at once.
-            if now + wait + state.latency.mean() > deadline {
+            // A long wait leaves no time for the answer, and makes all who come later wait as long.
+            let left = deadline.saturating_duration_since(now);
+            if wait > left / EXPECTED_WAIT_DIVISOR {
                 return Err(AcquireError::TooBusy(wait));
             }
+            give_up = now + left / WAIT_DIVISOR;
             let (sender, receiver) = oneshot::channel();
             state.waiting.push_back(Waiter { excluded: excluded.into(), prefers_cold, sender });
             receiver
         };
-        match timeout_at(deadline.into(), receiver).await {
+        match timeout_at(give_up.into(), receiver).await {
             Ok(Ok(permit)) => Ok(permit),
             Ok(Err(_)) => Err(AcquireError::NoneEligible(SmallVec::new())),
             Err(_) => Err(AcquireError::TooBusy(self.state.lock().latency.mean())),
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -10,6 +10,7 @@
 mod leader;
 mod node;
 mod once;
+mod prober;
 mod roster;
 mod steward;
 mod tries;
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     CallDispatcher, EntryContext, LeaderFinder, ReplicatedLedger, freshness::FreshnessKeeper,
-    roster::ServerRoster,
+    prober::ServerProber, roster::ServerRoster,
 };
 use caller::{CallerListener, IntakeError, IntakeSettings};
 use peer::{PeerAnswer, PeerLink, PeerRequest, PeerTarget};
@@ -70,6 +70,7 @@
         let leader = Arc::new(LeaderFinder::new(link.clone(), settings.replicas));
         let roster = ServerRoster::new(context.clone(), link.clone(), settings.load);
         let ledger = Arc::new(ReplicatedLedger::new(leader.clone()));
+        let prober = ServerProber::new(context.clone(), roster.clone(), settings.transport.clone());
         let dispatcher = CallDispatcher::new(
             context.clone(),
             roster.clone(),
@@ -96,6 +97,7 @@
         let counters = context.counters.servers.clone();
         tokio::spawn(serve_announcements(announcements, roster.clone(), counters));
         tokio::spawn(roster.clone().run());
+        tokio::spawn(prober.run());
         let keeper = FreshnessKeeper::new(context.clone(), leader, roster.clone());
         tokio::spawn(keeper.run());
         let stop = Arc::new(Notify::new());
--- a/crates/entry/src/roster.rs
+++ b/crates/entry/src/roster.rs
@@ -22,8 +22,8 @@
 };
 use types::{
     Announcement, BookChange, BookDelta, BookRequest, ClusterView, EntryInfo, EntryName, HostName,
-    ServerIncarnation, ServerName, ServerStage, ServiceName, StewardBeat, StewardId, SuspectKind,
-    SuspectReport,
+    ServerIncarnation, ServerName, ServerRecord, ServerStage, ServiceName, StewardBeat, StewardId,
+    SuspectKind, SuspectReport,
 };
 
 /// Period of beats.
@@ -163,6 +163,17 @@
         }
     }
 
+    /// Returns the warm servers in this entry's ranges.
+    pub(crate) fn own_warm_servers(&self) -> Vec<ServerRecord> {
+        self.desk.own_warm_servers()
+    }
+
+    /// Says whether a server has answered a request of this entry lately.
+    pub(crate) fn has_answered_lately(&self, record: &ServerRecord, now: Instant) -> bool {
+        let lane = self.lanes.lane(&record.announcement.service);
+        lane.has_answered_lately(&record.announcement.server, now)
+    }
+
     /// Returns all servers as this entry knows them, ordered by name.
     pub(crate) fn server_views(&self) -> Vec<ServerView> {
         let view = self.context.view();
--- a/crates/entry/src/steward.rs
+++ b/crates/entry/src/steward.rs
@@ -120,6 +120,17 @@
         })
     }
 
+    /// Returns the warm servers in own ranges.
+    pub(crate) fn own_warm_servers(&self) -> Vec<ServerRecord> {
+        let ranges = self.ranges.lock();
+        let book = self.book.lock();
+        let is_own = |record: &&ServerRecord| {
+            record.stage == ServerStage::Warm
+                && ranges.contains_key(&server_range(&record.announcement.server))
+        };
+        book.records().filter(is_own).cloned().collect()
+    }
+
     /// Returns the services with cold servers in this book.
     pub(crate) fn cold_services(&self) -> Vec<ServiceName> {
         let book = self.book.lock();
--- a/crates/policy/src/service_load.rs
+++ b/crates/policy/src/service_load.rs
@@ -205,6 +205,13 @@
             .any(|server| server.limit(now) > 0 && is_confirmed(&server.view.steward))
     }
 
+    /// Says whether a server has answered lately.
+    pub fn has_answered_lately(&self, server: &ServerName, now: Instant) -> bool {
+        let found =
+            self.servers.iter().find(|known| known.view.record.announcement.server == *server);
+        found.is_some_and(|known| !known.recent_latency(now).is_zero())
+    }
+
     /// Returns the number of requests in flight.
     pub fn in_flight(&self) -> u32 {
         self.servers.iter().map(|server| server.in_flight).sum()
