--- /dev/null
+++ b/crates/testkit/examples/bench_capacity.rs
@@ -0,0 +1,176 @@
+//! Measures slopes for docs/CAPACITY.md: traffic, CPU and memory of a node against the number of
+//! entries, servers and documents.
+//!
+//! Run: `cargo run --release -p hawthornhill-testkit --example bench_capacity`
+
+use hawthornhill_testkit::{HttpClient, HttpRequest, System, pause};
+use std::time::{Duration, Instant};
+use types::{ChangeAction, ServiceSpec, TeamDocument};
+
+/// The daemon, built by `cargo build --release`.
+const PROGRAM: &str = "target/release/hawthornhill";
+/// Idle time over which traffic and CPU are measured, in seconds.
+const IDLE_S: u64 = 10;
+
+fn proc_field(system: &System, index: usize, file: &str, field: &str) -> u64 {
+    let id = system.group.id(index).expect("runs");
+    let text = std::fs::read_to_string(format!("/proc/{id}/{file}")).expect("linux");
+    let line = text.lines().find(|line| line.starts_with(field)).unwrap_or_default();
+    line.split_whitespace().nth(1).and_then(|value| value.parse().ok()).unwrap_or(0)
+}
+
+fn resident_mb(system: &System, index: usize) -> f64 {
+    proc_field(system, index, "status", "VmRSS:") as f64 / 1024.0
+}
+
+fn cpu_seconds(system: &System, index: usize) -> f64 {
+    let id = system.group.id(index).expect("runs");
+    let threads = std::fs::read_dir(format!("/proc/{id}/task")).expect("linux");
+    let run = |path: std::path::PathBuf| -> f64 {
+        let text = std::fs::read_to_string(path.join("schedstat")).unwrap_or_default();
+        text.split_whitespace().next().and_then(|ns| ns.parse::<f64>().ok()).unwrap_or(0.0)
+    };
+    threads.flatten().map(|thread| run(thread.path())).sum::<f64>() / 1e9
+}
+
+/// Returns the bytes that the loopback device has sent.
+fn loopback_bytes() -> u64 {
+    let text = std::fs::read_to_string("/proc/net/dev").expect("linux");
+    let line = text.lines().find(|line| line.trim_start().starts_with("lo:")).expect("loopback");
+    line.split_whitespace().nth(1).and_then(|bytes| bytes.parse().ok()).unwrap_or(0)
+}
+
+async fn measure_entries() {
+    println!("idle system: bytes sent a node (IP included) and CPU against entries, 3 replicas");
+    println!(
+        "{:>8} {:>14} {:>16} {:>16} {:>10}",
+        "entries", "KB/s a node", "CPU% leader", "CPU% entry only", "RSS MB"
+    );
+    for entries in [4, 8, 16, 24] {
+        let system = System::start(PROGRAM, 3, entries).await;
+        pause(4_000).await;
+        let leader = system.leader().await;
+        let bytes = loopback_bytes();
+        let before: Vec<f64> = (0..entries).map(|index| cpu_seconds(&system, index)).collect();
+        pause(IDLE_S * 1_000).await;
+        let sent = (loopback_bytes() - bytes) as f64 / IDLE_S as f64 / entries as f64 / 1_000.0;
+        let cpu =
+            |index: usize| (cpu_seconds(&system, index) - before[index]) / IDLE_S as f64 * 100.0;
+        let others: f64 = (3..entries).map(cpu).sum::<f64>() / (entries - 3) as f64;
+        println!(
+            "{entries:>8} {sent:>14.2} {:>16.2} {others:>16.2} {:>10.1}",
+            cpu(leader),
+            resident_mb(&system, entries - 1)
+        );
+    }
+}
+
+async fn announce_all(system: &System, servers: usize, client: &HttpClient, sequence: u64) {
+    let mut tasks = tokio::task::JoinSet::new();
+    for worker in 0..16 {
+        let client = client.clone();
+        let addresses: Vec<_> =
+            system.group.processes.iter().map(|process| process.server).collect();
+        tasks.spawn(async move {
+            for number in (worker..servers).step_by(16) {
+                let body = format!(
+                    "{{\"server\":\"srv-{number}\",\"service\":\"svc-{}\",\
+                     \"address\":\"10.{}.{}.{}:80\",\"domain\":\"east\",\"slots\":2,\
+                     \"incarnation\":1,\"sequence\":{sequence},\"state\":\"ready\"}}",
+                    number % 1_200,
+                    number / 65_536,
+                    number / 256 % 256,
+                    number % 256
+                );
+                let entry = addresses[number % addresses.len()];
+                let _ = client.send(entry, HttpRequest::post("/v1/servers", body.into())).await;
+            }
+        });
+    }
+    while tasks.join_next().await.is_some() {}
+}
+
+async fn measure_servers() {
+    println!("memory and CPU of an entry against servers and documents, 3 replicas, 6 entries");
+    println!(
+        "{:>8} {:>10} {:>12} {:>12} {:>14} {:>12}",
+        "servers", "documents", "RSS MB", "RSS leader", "CPU% entry", "announce/s"
+    );
+    let system = System::start(PROGRAM, 3, 6).await;
+    let client = HttpClient::default();
+    report(&system, 0, 1, 0.0).await;
+    let mut tasks = tokio::task::JoinSet::new();
+    for number in 0..1_200 {
+        let document = TeamDocument {
+            team: format!("team-{number}").parse().expect("valid"),
+            services: vec![ServiceSpec::new(
+                format!("svc-{number}").parse().expect("valid"),
+                (number % 10) as u8,
+            )],
+        };
+        let operators = system.operators.clone();
+        let endpoint = system.endpoint(number % 3);
+        tasks.spawn(async move {
+            let change = types::ChangeRequest {
+                id: types::ChangeId(uuid::Uuid::now_v7()),
+                expected_version: types::DocumentVersion(0),
+                action: ChangeAction::Document(document),
+            };
+            let path = "/v1/changes";
+            let _ = operators.post::<_, types::ChangeAnswer>(&endpoint, path, &change).await;
+        });
+        if tasks.len() >= 32 {
+            let _ = tasks.join_next().await;
+        }
+    }
+    while tasks.join_next().await.is_some() {}
+    pause(2_000).await;
+    report(&system, 0, 1_201, 0.0).await;
+    for servers in [5_000, 15_000] {
+        let begun = Instant::now();
+        announce_all(&system, servers, &client, 1).await;
+        let rate = servers as f64 / begun.elapsed().as_secs_f64();
+        // Announcements are renewed while measured, at the period that servers keep.
+        for sequence in 2..5 {
+            let begun = Instant::now();
+            announce_all(&system, servers, &client, sequence).await;
+            tokio::time::sleep(Duration::from_secs(3).saturating_sub(begun.elapsed())).await;
+        }
+        report_renewing(&system, servers, rate, &client).await;
+    }
+}
+
+async fn report_renewing(system: &System, servers: usize, rate: f64, client: &HttpClient) {
+    let begun = Instant::now();
+    let before = cpu_seconds(system, 5);
+    for sequence in 10..13 {
+        let round = Instant::now();
+        announce_all(system, servers, client, sequence).await;
+        tokio::time::sleep(Duration::from_secs(3).saturating_sub(round.elapsed())).await;
+    }
+    let cpu = (cpu_seconds(system, 5) - before) / begun.elapsed().as_secs_f64() * 100.0;
+    let known = system.status(5).await.and_then(|page| page.entry).map_or(0, |e| e.servers.len());
+    print_row(system, known, 1_201, cpu, rate).await;
+}
+
+async fn report(system: &System, servers: usize, documents: usize, rate: f64) {
+    let before = cpu_seconds(system, 5);
+    pause(5_000).await;
+    let cpu = (cpu_seconds(system, 5) - before) / 5.0 * 100.0;
+    print_row(system, servers, documents, cpu, rate).await;
+}
+
+async fn print_row(system: &System, servers: usize, documents: usize, cpu: f64, rate: f64) {
+    let leader = system.leader().await;
+    println!(
+        "{servers:>8} {documents:>10} {:>12.1} {:>12.1} {cpu:>14.2} {rate:>12.0}",
+        resident_mb(system, 5),
+        resident_mb(system, leader)
+    );
+}
+
+#[tokio::main]
+async fn main() {
+    measure_entries().await;
+    measure_servers().await;
+}
--- /dev/null
+++ b/crates/testkit/examples/bench_replicas.rs
@@ -0,0 +1,232 @@
+//! Measures the replicated state on this machine's disk: claims, changes, restarts.
+//!
+//! Run: `cargo run --release -p hawthornhill-testkit --example bench_replicas`
+
+use async_trait::async_trait;
+use consensus::{CoreSettings, Member, MemberRole, ReplicaId};
+use hawthornhill_testkit::{MemoryNet, System, pause};
+use hdrhistogram::Histogram;
+use peer::{PeerAnswer, PeerHandler, PeerRequest, SubmitAnswer};
+use platform::{EventTimeline, MetricsRegistry, TimerService};
+use replica::{FileStore, ReplicaHandle, ReplicaSettings, start_replica};
+use std::{
+    net::SocketAddr,
+    path::Path,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+use types::{AttemptId, ChangeAction, ChangeAnswer, ClaimKey, ClaimRequest, Command, HostName};
+use uuid::Uuid;
+
+/// The daemon, built by `cargo build --release`.
+const PROGRAM: &str = "target/release/hawthornhill";
+/// Claims measured at each concurrency.
+const CLAIMS: usize = 20_000;
+
+struct Handler(ReplicaHandle);
+
+#[async_trait]
+impl PeerHandler for Handler {
+    async fn handle(&self, host: &HostName, request: PeerRequest) -> PeerAnswer {
+        self.0.handle(host, request).await.unwrap_or(PeerAnswer::Done)
+    }
+}
+
+fn start(net: &MemoryNet, folder: &Path, number: u16) -> (ReplicaHandle, ReplicaId) {
+    let host: HostName = format!("host-{number}").parse().expect("valid");
+    let opened = FileStore::open(folder, ReplicaId(u64::from(number))).expect("opens");
+    let (store, restored) = opened;
+    let identity = store.identity();
+    let address = SocketAddr::from(([127, 0, 0, 1], number));
+    let settings = ReplicaSettings {
+        identity,
+        host: host.clone(),
+        address,
+        core: CoreSettings { seed: u64::from(number), ..CoreSettings::default() },
+        link: net.link(host),
+        timer: TimerService::start(),
+        timeline: EventTimeline::new("bench"),
+        counters: MetricsRegistry::default().decisions("replica", "bench"),
+        logger: slog::Logger::root(slog::Discard, slog::o!()),
+    };
+    let handle = start_replica(settings, Box::new(store), restored).expect("starts");
+    net.register(address, Arc::new(Handler(handle.clone())));
+    (handle, identity)
+}
+
+async fn leader(handles: &[ReplicaHandle]) -> ReplicaHandle {
+    loop {
+        for handle in handles {
+            if handle.status().await.is_ok_and(|status| status.is_leader) {
+                return handle.clone();
+            }
+        }
+        pause(10).await;
+    }
+}
+
+fn claim() -> Command {
+    let key = ClaimKey { service: "najem".parse().expect("valid"), key: Uuid::now_v7() };
+    let entry = "entry".parse().expect("valid");
+    let attempt = AttemptId(Uuid::new_v4());
+    Command::Claim(ClaimRequest { key, digest: 0, attempt, entry })
+}
+
+async fn measure_claims(folder: &Path) {
+    let net = MemoryNet::default();
+    let started: Vec<_> = (1..=3).map(|n| start(&net, &folder.join(format!("r{n}")), n)).collect();
+    let members: Vec<Member> = (1..=3)
+        .zip(&started)
+        .map(|(number, (_, id))| Member {
+            id: *id,
+            host: format!("host-{number}").parse().expect("valid"),
+            address: SocketAddr::from(([127, 0, 0, 1], number)),
+            role: MemberRole::Voter,
+        })
+        .collect();
+    let handles: Vec<ReplicaHandle> = started.into_iter().map(|(handle, _)| handle).collect();
+    for handle in &handles {
+        handle.bootstrap(members.clone()).await.expect("formed");
+    }
+    let leader = leader(&handles).await;
+    println!("claims, 3 replicas, synced files, links in memory");
+    println!("{:>12} {:>12} {:>9} {:>9}", "concurrency", "claims/s", "p50 ms", "p99 ms");
+    for concurrency in [1, 8, 32, 128] {
+        let count = if concurrency == 1 { CLAIMS / 20 } else { CLAIMS };
+        let begun = Instant::now();
+        let mut tasks = tokio::task::JoinSet::new();
+        for _ in 0..concurrency {
+            let leader = leader.clone();
+            tasks.spawn(async move {
+                let mut latencies = Vec::new();
+                for _ in 0..count / concurrency {
+                    let sent = Instant::now();
+                    let answer = leader.submit(claim()).await;
+                    assert!(matches!(answer, SubmitAnswer::Applied(_)), "{answer:?}");
+                    latencies.push(sent.elapsed().as_micros() as u64);
+                }
+                latencies
+            });
+        }
+        let mut histogram = Histogram::<u64>::new(3).expect("valid");
+        while let Some(latencies) = tasks.join_next().await {
+            latencies.expect("joined").into_iter().for_each(|us| histogram.saturating_record(us));
+        }
+        let rate = histogram.len() as f64 / begun.elapsed().as_secs_f64();
+        let ms = |quantile| histogram.value_at_quantile(quantile) as f64 / 1_000.0;
+        println!("{concurrency:>12} {rate:>12.0} {:>9.2} {:>9.2}", ms(0.5), ms(0.99));
+    }
+}
+
+async fn measure_restart(folder: &Path) {
+    println!("restart of one replica: open files, replay, lead");
+    println!("{:>12} {:>12} {:>12}", "changes", "open ms", "lead ms");
+    let mut version = 0;
+    for (round, total) in [100_u64, 1_000, 10_000, 50_000].into_iter().enumerate() {
+        let net = MemoryNet::default();
+        let (handle, id) = start(&net, folder, 1);
+        if round == 0 {
+            let member = Member {
+                id,
+                host: "host-1".parse().expect("valid"),
+                address: SocketAddr::from(([127, 0, 0, 1], 1)),
+                role: MemberRole::Voter,
+            };
+            handle.bootstrap(vec![member]).await.expect("formed");
+        }
+        leader(std::slice::from_ref(&handle)).await;
+        while version < total {
+            let batch = (total - version).min(256);
+            let mut tasks = tokio::task::JoinSet::new();
+            for number in 0..batch {
+                let handle = handle.clone();
+                let domain = format!("d{}", (version + number) % 1_000).parse().expect("valid");
+                let change = types::ChangeRequest {
+                    id: types::ChangeId(Uuid::now_v7()),
+                    expected_version: types::DocumentVersion((version + number) / 1_000),
+                    action: ChangeAction::Drain(domain),
+                };
+                tasks.spawn(async move { handle.submit(Command::Change(change)).await });
+            }
+            while tasks.join_next().await.is_some() {}
+            version += batch;
+        }
+        handle.stop().await;
+        drop(handle);
+        drop(net);
+        pause(300).await;
+        let begun = Instant::now();
+        let opened = FileStore::open(folder, ReplicaId(1)).expect("opens");
+        let open_ms = begun.elapsed().as_secs_f64() * 1e3;
+        drop(opened);
+        let net = MemoryNet::default();
+        let begun = Instant::now();
+        let (handle, _) = start(&net, folder, 1);
+        leader(std::slice::from_ref(&handle)).await;
+        let lead_ms = begun.elapsed().as_secs_f64() * 1e3;
+        println!("{total:>12} {open_ms:>12.1} {lead_ms:>12.0}");
+        handle.stop().await;
+        pause(300).await;
+    }
+}
+
+/// Returns the time until all entries' views have reached the leader's, after a change.
+async fn time_in_force(system: &System, version: u64) -> Duration {
+    let begun = Instant::now();
+    let answer = system.drain("nowhere", version).await;
+    assert!(matches!(answer, ChangeAnswer::Accepted { .. }), "{answer:?}");
+    loop {
+        let mut is_everywhere = true;
+        for index in 0..system.group.processes.len() {
+            let endpoint = system.endpoint(index);
+            let page = system.operators.get::<operator::ViewPage>(&endpoint, "/v1/view").await;
+            is_everywhere &= page
+                .is_ok_and(|page| page.drains.iter().any(|drain| drain.version.0 == version + 1));
+        }
+        if is_everywhere {
+            return begun.elapsed();
+        }
+    }
+}
+
+async fn measure_changes() {
+    println!("change accepted to in force at all of 5 entries, ms (target 2500 at worst)");
+    let mut system = System::start(PROGRAM, 3, 5).await;
+    let mut calm = Vec::new();
+    for version in 0..40 {
+        calm.push(time_in_force(&system, version).await.as_millis());
+    }
+    calm.sort_unstable();
+    println!("calm: p50 {} worst {} of 40", calm[20], calm[39]);
+    let mut killed = Vec::new();
+    for round in 0..10 {
+        let leader = system.leader().await;
+        system.group.kill(leader).expect("killed");
+        let begun = Instant::now();
+        let answer = system.drain("nowhere", 40 + round).await;
+        assert!(matches!(answer, ChangeAnswer::Accepted { .. }), "{answer:?}");
+        let accepted = begun.elapsed();
+        system.group.spawn(leader).expect("starts");
+        let mut missing: Vec<usize> =
+            (0..system.group.processes.len()).filter(|index| *index != leader).collect();
+        while !missing.is_empty() {
+            let endpoint = system.endpoint(missing[0]);
+            let page = system.operators.get::<operator::ViewPage>(&endpoint, "/v1/view").await;
+            if page.is_ok_and(|p| p.drains.iter().any(|drain| drain.version.0 == 41 + round)) {
+                missing.remove(0);
+            }
+        }
+        killed.push((begun.elapsed().as_millis(), accepted.as_millis()));
+        pause(2_000).await;
+    }
+    killed.sort_unstable();
+    println!("proposed at the kill of the leader: p50 {} worst {} of 10", killed[5].0, killed[9].0);
+}
+
+#[tokio::main]
+async fn main() {
+    let folder = tempfile::tempdir_in("target").expect("folder on this disk");
+    measure_claims(folder.path()).await;
+    measure_restart(&folder.path().join("restart")).await;
+    measure_changes().await;
+}
--- a/crates/testkit/src/fake_server.rs
+++ b/crates/testkit/src/fake_server.rs
@@ -108,6 +108,11 @@
         self.core.address
     }
 
+    /// Returns the requests that the server runs at the same time.
+    pub fn slots(&self) -> u32 {
+        self.core.behaviour.lock().slots
+    }
+
     /// Returns what the server has seen.
     pub fn stats(&self) -> FakeStats {
         self.core.stats.lock().clone()
@@ -253,7 +258,10 @@
     }
     let _slot = core.slots.acquire().await.map_err(io::Error::other)?;
     note_execution(&core, &parts.headers);
-    tokio::time::sleep(core.draw_service_time()).await;
+    let service_time = core.draw_service_time();
+    if !service_time.is_zero() {
+        tokio::time::sleep(service_time).await;
+    }
     if mode == FakeMode::Hang {
         std::future::pending::<()>().await;
     }
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -9,6 +9,7 @@
 mod load_driver;
 mod memory_net;
 mod process_group;
+mod system;
 
 pub use announcer::announce;
 pub use behaviour::{FakeBehaviour, FakeMode, FakeStats, LoadReport};
@@ -18,3 +19,4 @@
 pub use load_driver::{LoadPlan, LoadReportCard, run_load};
 pub use memory_net::MemoryNet;
 pub use process_group::{GroupSettings, ProcessGroup, free_addresses};
+pub use system::{System, document, new_key, outcome, pause, runs, wait_until};
--- a/crates/testkit/src/load_driver.rs
+++ b/crates/testkit/src/load_driver.rs
@@ -9,6 +9,7 @@
     sync::Arc,
     time::{Duration, Instant},
 };
+use tokio::runtime::Handle;
 use types::header;
 use uuid::Uuid;
 
@@ -95,19 +96,31 @@
 }
 
 /// Sends requests as planned and waits for all answers.
+///
+/// A thread of its own keeps the schedule, as timers of the runtime are too coarse for it.
 pub async fn run_load(client: &HttpClient, plan: &LoadPlan) -> LoadReportCard {
     let card = Arc::new(Mutex::new(LoadReportCard::default()));
-    let started = Instant::now();
-    let total = (plan.rate * plan.duration.as_secs_f64()) as u64;
-    let mut requests = tokio::task::JoinSet::new();
-    for number in 0..total {
-        let scheduled = started + Duration::from_secs_f64(number as f64 / plan.rate);
-        tokio::time::sleep_until(scheduled.into()).await;
-        let entry = plan.entries[number as usize % plan.entries.len()];
-        let (client, plan, card) = (client.clone(), plan.clone(), card.clone());
-        requests.spawn(async move { send_one(&client, &plan, entry, scheduled, &card).await });
+    let (client, plan, shared) = (client.clone(), plan.clone(), card.clone());
+    let runtime = Handle::current();
+    let pacing = tokio::task::spawn_blocking(move || {
+        let started = Instant::now();
+        let total = (plan.rate * plan.duration.as_secs_f64()) as u64;
+        let mut requests = Vec::with_capacity(total as usize);
+        for number in 0..total {
+            let scheduled = started + Duration::from_secs_f64(number as f64 / plan.rate);
+            std::thread::sleep(scheduled.saturating_duration_since(Instant::now()));
+            let entry = plan.entries[number as usize % plan.entries.len()];
+            let (client, plan, card) = (client.clone(), plan.clone(), shared.clone());
+            requests.push(runtime.spawn(async move {
+                send_one(&client, &plan, entry, scheduled, &card).await;
+            }));
+        }
+        requests
+    });
+    for request in pacing.await.unwrap_or_default() {
+        // A request that panicked is missing from the count of those sent.
+        let _ = request.await;
     }
-    while requests.join_next().await.is_some() {}
     Arc::into_inner(card).map(Mutex::into_inner).unwrap_or_default()
 }
 
--- a/crates/testkit/src/process_group.rs
+++ b/crates/testkit/src/process_group.rs
@@ -92,6 +92,11 @@
         Ok(())
     }
 
+    /// Returns a process's id, if it runs.
+    pub fn id(&self, index: usize) -> Option<u32> {
+        self.processes[index].child.as_ref().map(Child::id)
+    }
+
     /// Kills a process (SIGKILL).
     pub fn kill(&mut self, index: usize) -> io::Result<()> {
         if let Some(mut child) = self.processes[index].child.take() {
--- a/crates/testkit/src/system.rs
+++ b/crates/testkit/src/system.rs
@@ -1,6 +1,10 @@
-//! A system of real processes with fake servers, for tests of kills, freezes and stops.
-#![allow(dead_code)]
+//! A system of real processes with fake servers, for tests of kills, freezes and stops, and for
+//! measurements. Helpers panic where a test would fail.
 
+use crate::{
+    FakeBehaviour, FakeServer, FakeServerSettings, GroupSettings, HttpAnswer, HttpClient,
+    HttpRequest, ProcessGroup,
+};
 use operator::{OperatorClient, OperatorEndpoint, StatusPage};
 use std::{
     future::Future,
@@ -9,10 +13,6 @@
     time::{Duration, Instant},
 };
 use tempfile::TempDir;
-use testkit::{
-    FakeBehaviour, FakeServer, FakeServerSettings, GroupSettings, HttpAnswer, HttpClient,
-    HttpRequest, ProcessGroup,
-};
 use types::{
     ChangeAction, ChangeAnswer, ChangeId, ChangeRequest, DocumentVersion, NonRepeatableRule,
     ServiceSpec, TeamDocument, header,
@@ -22,9 +22,13 @@
 /// The longest wait for a condition; only a fault makes a test wait that long.
 const PATIENCE: Duration = Duration::from_secs(40);
 
+/// A running system.
 pub struct System {
+    /// Its processes.
     pub group: ProcessGroup,
+    /// Connections of a caller.
     pub client: HttpClient,
+    /// Connections of an operator.
     pub operators: OperatorClient,
     _folder: TempDir,
 }
@@ -42,6 +46,7 @@
     }
 }
 
+/// Waits for some milliseconds.
 pub async fn pause(ms: u64) {
     tokio::time::sleep(Duration::from_millis(ms)).await;
 }
@@ -61,10 +66,10 @@
 
 impl System {
     /// Starts processes that are entry and replica each, forms the group, and applies a document.
-    pub async fn start(replicas: usize, entries: usize) -> Self {
+    pub async fn start(program: &str, replicas: usize, entries: usize) -> Self {
         let folder = tempfile::tempdir().expect("folder");
         let settings = GroupSettings {
-            program: PathBuf::from(env!("CARGO_BIN_EXE_hawthornhill")),
+            program: PathBuf::from(program),
             control: None,
             folder: folder.path().to_owned(),
             replicas,
@@ -80,12 +85,14 @@
         system
     }
 
+    /// Returns where a process takes operators' requests.
     pub fn endpoint(&self, index: usize) -> OperatorEndpoint {
         let process = &self.group.processes[index];
         let host = process.name.parse().expect("valid");
         OperatorEndpoint { host, address: process.operator }
     }
 
+    /// Returns a process's status page, `None` if it does not answer.
     pub async fn status(&self, index: usize) -> Option<StatusPage> {
         self.operators.get(&self.endpoint(index), "/v1/status").await.ok()
     }
@@ -138,12 +145,14 @@
         panic!("the change was not decided");
     }
 
+    /// Decides a change under a new id.
     pub async fn change(&self, expected: u64, action: ChangeAction) -> ChangeAnswer {
         let id = ChangeId(Uuid::now_v7());
         let expected_version = DocumentVersion(expected);
         self.decide(&ChangeRequest { id, expected_version, action }).await
     }
 
+    /// Takes a failure domain out of service.
     pub async fn drain(&self, domain: &str, expected: u64) -> ChangeAnswer {
         let domain = domain.parse().expect("valid");
         self.change(expected, ChangeAction::Drain(domain)).await
@@ -154,6 +163,7 @@
         self.server_with(name, service, domain, FakeBehaviour::default()).await
     }
 
+    /// Starts a fake server with a behaviour.
     pub async fn server_with(
         &self,
         name: &str,
@@ -172,6 +182,7 @@
         FakeServer::start(settings, behaviour).await.expect("server starts")
     }
 
+    /// Returns where an entry takes callers' requests.
     pub fn caller(&self, index: usize) -> SocketAddr {
         self.group.processes[index].caller
     }
@@ -214,10 +225,12 @@
     }
 }
 
+/// Returns a new idempotency key.
 pub fn new_key() -> String {
     Uuid::now_v7().to_string()
 }
 
+/// Returns the outcome that an answer states.
 pub fn outcome(answer: &HttpAnswer) -> &str {
     answer.header(header::OUTCOME)
 }
