Cut the memory of links and the cost of freshness rounds

Cause 1: an entry's memory grew by 2.7 MB for each other entry (72 MB at 24). The QUIC library reserves state for every stream that the peer may open; 16,384 were allowed. Ruled out: servers and documents (8 MB for 1,201 documents and 5,000 servers). Cause 2: every freshness request began its own quorum round while none was waiting, so the leader's CPU grew with entries. Now one round a tick (50 ms) serves all that wait.

--- a/crates/daemon/src/backend.rs
+++ b/crates/daemon/src/backend.rs
@@ -5,6 +5,7 @@
 use consensus::{Member, MembershipChange};
 use entry::{LeaderFinder, SubmitResult};
 use operator::{BackendError, EntryPage, OperatorBackend, ServerRow, StatusPage, ViewPage};
+use peer::PeerNode;
 use platform::{EventRecord, EventTimeline, TimelineFilter};
 use policy::ServerView;
 use std::{
@@ -23,6 +24,7 @@
     pub(crate) domain: DomainName,
     pub(crate) peer_address: SocketAddr,
     pub(crate) roles: Arc<RoleHandler>,
+    pub(crate) node: Arc<PeerNode>,
     pub(crate) leader: LeaderFinder,
     pub(crate) timeline: EventTimeline,
 }
@@ -39,7 +41,10 @@
             view: entry.view().version,
             servers: entry.servers().into_iter().map(server_row).collect(),
         });
+        let traffic = self.node.traffic();
         StatusPage {
+            sent_bytes: traffic.sent,
+            received_bytes: traffic.received,
             process: self.process.clone(),
             domain: self.domain.clone(),
             peer_address: self.peer_address,
--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -170,6 +170,7 @@
             domain: self.settings.failure_domain.clone(),
             peer_address: self.settings.peer_address,
             roles: self.roles.clone(),
+            node: self.node.clone(),
             leader: LeaderFinder::new(self.link(), self.replicas()),
             timeline: self.timeline.clone(),
         };
--- a/crates/operator/src/pages.rs
+++ b/crates/operator/src/pages.rs
@@ -17,6 +17,10 @@
     pub domain: DomainName,
     /// Where other processes reach it.
     pub peer_address: SocketAddr,
+    /// Bytes sent to other processes so far.
+    pub sent_bytes: u64,
+    /// Bytes received from other processes so far.
+    pub received_bytes: u64,
     /// Its replica, if it has that role.
     pub replica: Option<ReplicaStatus>,
     /// Its entry, if it has that role.
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -19,5 +19,5 @@
     ConsensusMessage, FreshnessAnswer, FreshnessGrant, FreshnessRequest, PeerAnswer, PeerRequest,
     SubmitAnswer,
 };
-pub use node::PeerNode;
+pub use node::{LinkTraffic, PeerNode};
 pub use tls::{TlsMaterial, operator_client_config, operator_server_config};
--- a/crates/peer/src/node.rs
+++ b/crates/peer/src/node.rs
@@ -29,8 +29,33 @@
 const IDLE_TIMEOUT_MS: u32 = 3_000;
 /// Period of keep-alive packets on an idle connection.
 const KEEP_ALIVE: Duration = Duration::from_millis(1_000);
-/// The greatest number of requests open at the same time on one connection.
-const MAX_STREAMS: u32 = 16_384;
+/// The greatest number of requests open at the same time on one connection; more wait. The library
+/// reserves memory for each.
+const MAX_STREAMS: u32 = 256;
+
+/// Bytes that a process has exchanged with others, UDP payloads of all links.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct LinkTraffic {
+    /// Sent.
+    pub sent: u64,
+    /// Received.
+    pub received: u64,
+}
+
+impl LinkTraffic {
+    fn add(&mut self, connection: &Connection) {
+        let stats = connection.stats();
+        self.sent += stats.udp_tx.bytes;
+        self.received += stats.udp_rx.bytes;
+    }
+}
+
+/// Open links, and the traffic of those that have closed.
+#[derive(Default)]
+struct TrafficBook {
+    open: Vec<Connection>,
+    closed: LinkTraffic,
+}
 
 type ConnectionSlot = Arc<tokio::sync::Mutex<Option<Connection>>>;
 
@@ -40,6 +65,7 @@
     timeline: EventTimeline,
     counters: DecisionCounters,
     connections: Mutex<HashMap<PeerTarget, ConnectionSlot>>,
+    traffic: Mutex<TrafficBook>,
     queues: Mutex<HashMap<PeerTarget, mpsc::Sender<PeerRequest>>>,
 }
 
@@ -68,8 +94,8 @@
             |error: std::io::Error| PeerError::Bind { address, reason: error.to_string() };
         let mut endpoint = Endpoint::server(server, address).map_err(bind_error)?;
         endpoint.set_default_client_config(client);
-        let (connections, queues) = (Mutex::default(), Mutex::default());
-        Ok(Arc::new(Self { endpoint, timeline, counters, connections, queues }))
+        let (connections, queues, traffic) = Default::default();
+        Ok(Arc::new(Self { endpoint, timeline, counters, connections, traffic, queues }))
     }
 
     /// Returns the address of the socket.
@@ -80,6 +106,28 @@
         self.endpoint.local_addr().map_err(bind_error)
     }
 
+    /// Returns the bytes exchanged so far.
+    pub fn traffic(&self) -> LinkTraffic {
+        let mut book = self.traffic.lock();
+        let TrafficBook { open, closed } = &mut *book;
+        open.retain(|connection| {
+            let is_open = connection.close_reason().is_none();
+            if !is_open {
+                closed.add(connection);
+            }
+            is_open
+        });
+        let mut total = *closed;
+        open.iter().for_each(|connection| total.add(connection));
+        total
+    }
+
+    fn note_link(&self, connection: &Connection) {
+        // Counting also drops the closed links, so that the list does not grow.
+        self.traffic();
+        self.traffic.lock().open.push(connection.clone());
+    }
+
     /// Accepts links until the node is closed.
     pub async fn serve(self: Arc<Self>, handler: Arc<dyn PeerHandler>) {
         while let Some(incoming) = self.endpoint.accept().await {
@@ -105,6 +153,7 @@
             return;
         };
         self.counters.count("link-accepted");
+        self.note_link(&connection);
         loop {
             tokio::select! {
                 stream = connection.accept_bi() => {
@@ -192,6 +241,7 @@
             .await
             .map_err(|_| not_reached("connect timed out".to_owned()))?
             .map_err(|error| not_reached(error.to_string()))?;
+        self.note_link(&connection);
         *slot = Some(connection.clone());
         Ok(connection)
     }
@@ -288,7 +338,7 @@
         .max_idle_timeout(Some(VarInt::from_u32(IDLE_TIMEOUT_MS).into()))
         .keep_alive_interval(Some(KEEP_ALIVE))
         .max_concurrent_bidi_streams(VarInt::from_u32(MAX_STREAMS))
-        .max_concurrent_uni_streams(VarInt::from_u32(64))
+        .max_concurrent_uni_streams(VarInt::from_u32(8))
         .initial_rtt(Duration::from_millis(10));
     transport
 }
--- a/crates/replica/src/driver.rs
+++ b/crates/replica/src/driver.rs
@@ -102,6 +102,8 @@
     next_token: u64,
     watch: EntryWatch,
     was_leader: bool,
+    /// A tick has come since the last quorum round; one round serves all reads of a tick.
+    round_is_due: bool,
     snapshot_bytes: u64,
     /// Where the senders of messages can be answered, members or not.
     origins: HashMap<ReplicaId, PeerTarget>,
@@ -159,6 +161,7 @@
             next_token: 0,
             watch: EntryWatch::new(Instant::now()),
             was_leader: false,
+            round_is_due: false,
             snapshot_bytes,
             origins: HashMap::new(),
             stalled: None,
@@ -219,6 +222,7 @@
 
     fn tick(&mut self, now: Instant) {
         self.core.tick();
+        self.round_is_due = true;
         if self.core.is_leader() && self.was_leader {
             for command in self.watch.expirations(self.state.view(), now) {
                 self.propose_own(command);
@@ -339,7 +343,9 @@
         }
         loop {
             self.core.replicate();
-            self.core.start_round();
+            if std::mem::take(&mut self.round_is_due) {
+                self.core.start_round();
+            }
             let effects = self.core.take_effects();
             if effects.is_empty() {
                 break;
--- a/crates/testkit/examples/bench_capacity.rs
+++ b/crates/testkit/examples/bench_capacity.rs
@@ -33,33 +33,50 @@
     threads.flatten().map(|thread| run(thread.path())).sum::<f64>() / 1e9
 }
 
-/// Returns the bytes that the loopback device has sent.
-fn loopback_bytes() -> u64 {
-    let text = std::fs::read_to_string("/proc/net/dev").expect("linux");
-    let line = text.lines().find(|line| line.trim_start().starts_with("lo:")).expect("loopback");
-    line.split_whitespace().nth(1).and_then(|bytes| bytes.parse().ok()).unwrap_or(0)
+/// Returns the bytes that a process has sent to and received from others.
+async fn link_bytes(system: &System, index: usize) -> (u64, u64) {
+    let page = system.status(index).await.expect("answers");
+    (page.sent_bytes, page.received_bytes)
 }
 
 async fn measure_entries() {
-    println!("idle system: bytes sent a node (IP included) and CPU against entries, 3 replicas");
+    println!("idle system: KB/s of links (UDP payload, sent + received) and CPU, 3 replicas");
     println!(
-        "{:>8} {:>14} {:>16} {:>16} {:>10}",
-        "entries", "KB/s a node", "CPU% leader", "CPU% entry only", "RSS MB"
+        "{:>8} {:>12} {:>12} {:>12} {:>12} {:>12} {:>8}",
+        "entries",
+        "KB/s leader",
+        "KB/s replica",
+        "KB/s entry",
+        "CPU% leader",
+        "CPU% entry",
+        "RSS MB"
     );
     for entries in [4, 8, 16, 24] {
         let system = System::start(PROGRAM, 3, entries).await;
         pause(4_000).await;
         let leader = system.leader().await;
-        let bytes = loopback_bytes();
-        let before: Vec<f64> = (0..entries).map(|index| cpu_seconds(&system, index)).collect();
+        let follower = (leader + 1) % 3;
+        let chosen = [leader, follower, entries - 1];
+        let mut before = Vec::new();
+        for index in chosen {
+            before.push((link_bytes(&system, index).await, cpu_seconds(&system, index)));
+        }
         pause(IDLE_S * 1_000).await;
-        let sent = (loopback_bytes() - bytes) as f64 / IDLE_S as f64 / entries as f64 / 1_000.0;
-        let cpu =
-            |index: usize| (cpu_seconds(&system, index) - before[index]) / IDLE_S as f64 * 100.0;
-        let others: f64 = (3..entries).map(cpu).sum::<f64>() / (entries - 3) as f64;
+        let mut rates = Vec::new();
+        for (index, ((sent, received), cpu)) in chosen.into_iter().zip(before) {
+            let spent = cpu_seconds(&system, index) - cpu;
+            let (sent_after, received_after) = link_bytes(&system, index).await;
+            let bytes = sent_after - sent + received_after - received;
+            let seconds = IDLE_S as f64;
+            rates.push((bytes as f64 / seconds / 1_000.0, spent / seconds * 100.0));
+        }
         println!(
-            "{entries:>8} {sent:>14.2} {:>16.2} {others:>16.2} {:>10.1}",
-            cpu(leader),
+            "{entries:>8} {:>12.2} {:>12.2} {:>12.2} {:>12.2} {:>12.2} {:>8.1}",
+            rates[0].0,
+            rates[1].0,
+            rates[2].0,
+            rates[0].1,
+            rates[2].1,
             resident_mb(&system, entries - 1)
         );
     }
