Eject slow servers by an anytime-valid bound on their median

Share of work of a server that becomes three times slower, random choice: under half of its even share (test; without the ejection it gets all of it).

--- a/crates/entry/src/lane.rs
+++ b/crates/entry/src/lane.rs
@@ -301,6 +301,11 @@
         if notes.is_warm {
             observer.server_warmed(&server.name, server.incarnation);
         }
+        if notes.is_slow {
+            self.context.counters.servers.count("slow");
+            let detail = "slow".to_owned();
+            self.context.record_server(EventKind::ServerSuspected, &server.name, detail);
+        }
         if let Some(kind) = notes.suspicion {
             let detail = format!("{kind:?}");
             self.context.record_server(EventKind::ServerSuspected, &server.name, detail);
--- a/crates/policy/src/health.rs
+++ b/crates/policy/src/health.rs
@@ -8,6 +8,10 @@
 const LONGEST_PAUSE: Duration = Duration::from_secs(5);
 /// The pause after a shed request.
 const SHED_PAUSE: Duration = Duration::from_millis(5);
+/// The first pause of a slow server; doubled at each further one.
+const FIRST_SLOW_PAUSE: Duration = Duration::from_secs(1);
+/// The longest pause of a slow server.
+const LONGEST_SLOW_PAUSE: Duration = Duration::from_secs(16);
 /// Weight of one answer in the share of failures, as a divisor.
 const FAILURE_DIVISOR: f64 = 8.0;
 /// Share of failures above which a server is paused.
@@ -40,6 +44,7 @@
 pub struct ServerHealth {
     paused_until: Option<Instant>,
     pause: Duration,
+    slow_pause: Duration,
     failure_share: f64,
     is_on_trial: bool,
 }
@@ -73,6 +78,12 @@
         }
     }
 
+    /// Notes that the server has become slow.
+    pub fn note_slow(&mut self, now: Instant) {
+        self.slow_pause = (self.slow_pause * 2).clamp(FIRST_SLOW_PAUSE, LONGEST_SLOW_PAUSE);
+        self.pause_for(self.slow_pause, now);
+    }
+
     /// Says whether the server is left alone for now.
     pub fn is_paused(&self, now: Instant) -> bool {
         self.paused_until.is_some_and(|until| now < until)
--- a/crates/policy/src/latency.rs
+++ b/crates/policy/src/latency.rs
@@ -1,21 +1,22 @@
-//! Running estimates of a latency: an exponentially weighted mean, and a high quantile.
+//! Running estimates of a latency: an exponentially weighted mean, the median, and a high quantile.
 
 use std::time::Duration;
 
 /// Weight of a new sample in the mean, as a divisor.
 const MEAN_DIVISOR: f64 = 16.0;
-/// The quantile that is tracked.
+/// The high quantile that is tracked.
 const QUANTILE: f64 = 0.95;
-/// Step of the quantile estimate, as a share of the mean.
+/// Step of the quantile estimates, as a share of the mean.
 const QUANTILE_STEP: f64 = 0.05;
 
-/// Tracks mean and 95th percentile in constant space.
+/// Tracks mean, median and 95th percentile in constant space.
 ///
-/// The quantile moves by a small step up or down at each sample, in the ratio that balances at the
+/// Each quantile moves by a small step up or down at each sample, in the ratio that balances at the
 /// tracked quantile (stochastic approximation).
 #[derive(Debug, Clone, Copy, Default)]
 pub struct LatencyTracker {
     mean_us: f64,
+    median_us: f64,
     quantile_us: f64,
     samples: u64,
 }
@@ -27,16 +28,14 @@
         self.samples += 1;
         if self.samples == 1 {
             self.mean_us = sample;
+            self.median_us = sample;
             self.quantile_us = sample;
             return;
         }
         self.mean_us += (sample - self.mean_us) / MEAN_DIVISOR;
         let step = self.mean_us * QUANTILE_STEP;
-        if sample > self.quantile_us {
-            self.quantile_us += step * QUANTILE;
-        } else {
-            self.quantile_us -= step * (1.0 - QUANTILE);
-        }
+        self.median_us += quantile_step(sample > self.median_us, 0.5) * step;
+        self.quantile_us += quantile_step(sample > self.quantile_us, QUANTILE) * step;
     }
 
     /// Returns the mean, zero before the first sample.
@@ -44,6 +43,11 @@
         Duration::from_secs_f64(self.mean_us.max(0.0) / 1e6)
     }
 
+    /// Returns the median, zero before the first sample.
+    pub fn median(&self) -> Duration {
+        Duration::from_secs_f64(self.median_us.max(0.0) / 1e6)
+    }
+
     /// Returns the 95th percentile, zero before the first sample.
     pub fn quantile(&self) -> Duration {
         Duration::from_secs_f64(self.quantile_us.max(0.0) / 1e6)
@@ -54,3 +58,8 @@
         self.samples
     }
 }
+
+/// Returns the step towards a sample, in units that balance at the quantile.
+fn quantile_step(is_above: bool, quantile: f64) -> f64 {
+    if is_above { quantile } else { quantile - 1.0 }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -14,6 +14,7 @@
 mod retry_budget;
 mod selection;
 mod service_load;
+mod slow;
 
 pub use admission::{AdmissionGate, AdmissionSettings, retry_after};
 pub use book::{ANNOUNCEMENT_LEASE, AnnounceOutcome, ServerBook};
@@ -32,3 +33,4 @@
     LoadSettings, PickResult, PickedServer, ReleaseNotes, ServerView, ServiceLoad, StatedLoad,
     expected_wait,
 };
+pub use slow::MedianBound;
--- a/crates/policy/src/service_load.rs
+++ b/crates/policy/src/service_load.rs
@@ -1,6 +1,8 @@
 //! The servers of one service as one entry sees them, and the choice among them.
 
-use crate::{CandidateLoad, ColdRamp, LatencyTracker, ServerHealth, ServerSelector, TryOutcome};
+use crate::{
+    CandidateLoad, ColdRamp, LatencyTracker, MedianBound, ServerHealth, ServerSelector, TryOutcome,
+};
 use rand::RngCore;
 use smallvec::SmallVec;
 use std::{
@@ -48,6 +50,7 @@
     sampled: Option<Instant>,
     report: Option<(u32, Instant)>,
     health: ServerHealth,
+    slowness: MedianBound,
     ramp: Option<ColdRamp>,
     /// Suspected in this incarnation, until its steward tells of it anew or this time passes.
     suspected_until: Option<Instant>,
@@ -85,6 +88,8 @@
 pub struct ReleaseNotes {
     /// The cold server has proved itself.
     pub is_warm: bool,
+    /// The server has become slow and is left alone for a while.
+    pub is_slow: bool,
     /// The server is to be reported to its steward.
     pub suspicion: Option<SuspectKind>,
 }
@@ -96,12 +101,14 @@
 pub struct ServiceLoad {
     settings: LoadSettings,
     servers: Vec<ServerLoad>,
+    /// Latency over all servers.
+    typical: LatencyTracker,
 }
 
 impl ServiceLoad {
     /// Returns a service without servers.
     pub fn new(settings: LoadSettings) -> Self {
-        Self { settings, servers: Vec::new() }
+        Self { settings, servers: Vec::new(), typical: LatencyTracker::default() }
     }
 
     /// Changes what a cold server bears, for ramps that start from now on.
@@ -195,7 +202,15 @@
         if server.view.record.announcement.incarnation != picked.incarnation {
             return ReleaseNotes::default();
         }
-        server.note(outcome, stated, now)
+        let mut notes = server.note(outcome, stated, now);
+        if let TryOutcome::Success(latency) = outcome {
+            self.typical.note(latency);
+            notes.is_slow = server.slowness.note(latency, self.typical.median());
+            if notes.is_slow {
+                server.health.note_slow(now);
+            }
+        }
+        notes
     }
 
     /// Says whether this entry may give any server work, now or once one has room.
@@ -301,6 +316,7 @@
                 sampled: None,
                 report: None,
                 health: ServerHealth::default(),
+                slowness: MedianBound::default(),
                 ramp: None,
                 suspected_until: None,
             },
@@ -390,7 +406,7 @@
         if suspicion.is_some() {
             self.suspected_until = Some(now + SUSPICION_LIMIT);
         }
-        ReleaseNotes { is_warm, suspicion }
+        ReleaseNotes { is_warm, is_slow: false, suspicion }
     }
 
     fn suspicion(
--- a/crates/policy/tests/servers.rs
+++ b/crates/policy/tests/servers.rs
@@ -318,6 +318,41 @@
     assert!(late_picks > 100, "{late_picks} of 3000");
 }
 
+/// Returns the picks of the server "slow", of 4,000, when its answers take `factor` times as long
+/// from the 1,000th on; random choice, so that only the ejection keeps requests away.
+fn picks_of_slow_server(factor: f64, healthy: &[&str]) -> u32 {
+    let start = Instant::now();
+    let settings =
+        LoadSettings { selector: Arc::new(hawthornhill_policy::RandomSelector), ..load_settings() };
+    let mut load = ServiceLoad::new(settings);
+    let names = healthy.iter().copied().chain(["slow"]);
+    load.update(names.map(|name| view(name, ServerStage::Warm, false)).collect());
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut picks = 0;
+    for number in 0..5_000_u64 {
+        let now = start + Duration::from_millis(number);
+        let PickResult::Picked(server) = load.pick(&[], false, |_| true, now, &mut rng) else {
+            panic!("no server");
+        };
+        let is_slow = server.name.as_str() == "slow" && number >= 1_000;
+        picks += u32::from(is_slow);
+        let noise = 0.3 - rand::Rng::random_range(&mut rng, f64::EPSILON..1.0).ln();
+        let latency = Duration::from_secs_f64(noise * if is_slow { factor } else { 1.0 } / 1e3);
+        load.release(&server, TryOutcome::Success(latency), &StatedLoad::default(), now);
+    }
+    picks
+}
+
+#[test]
+fn a_server_that_becomes_three_times_slower_is_ejected_and_a_healthy_one_is_not() {
+    let healthy = ["u", "v", "w", "x", "y"];
+    let share = 4_000 / 6;
+    let normal = picks_of_slow_server(1.0, &healthy);
+    assert!(normal > share * 8 / 10, "{normal} of 4000 went to a healthy server");
+    let slow = picks_of_slow_server(3.0, &healthy);
+    assert!(slow < share / 2, "{slow} of 4000 went to the slow server");
+}
+
 #[test]
 fn not_all_servers_are_left_alone_for_bad_health() {
     let now = Instant::now();
