--- a/crates/daemon/tests/lifecycle.rs
+++ b/crates/daemon/tests/lifecycle.rs
@@ -354,3 +354,47 @@
         }
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_whose_caller_goes_away_is_cancelled_at_the_server() {
+    let system = System::start(PROGRAM, 1, 1).await;
+    let server = system.server("l-1", "look", "east").await;
+    system.wait_warm(0, 1).await;
+    server.change(|behaviour| behaviour.mode = FakeMode::Hang);
+    let (client, address) = (system.client.clone(), system.caller(0));
+    let request = HttpRequest::get("/v1/call/look/x");
+    let sent = tokio::spawn(async move { client.send(address, request).await });
+    wait_until("the server has it", || async { server.stats().in_flight == 1 }).await;
+    sent.abort();
+    wait_until("it is cancelled", || async { server.stats().cancelled == 1 }).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn deadlines_shorten_on_the_way_and_late_answers_are_not_waited_for() {
+    let system = System::start(PROGRAM, 1, 1).await;
+    let server = system.server("l-1", "look", "east").await;
+    system.wait_warm(0, 1).await;
+    server.change(|behaviour| behaviour.mode = FakeMode::Hang);
+    let request = HttpRequest::get("/v1/call/look/x").with("hawthornhill-deadline-ms", "300");
+    let answer = system.client.send(system.caller(0), request).await.expect("answers");
+    assert_eq!((answer.status, outcome(&answer)), (504, "unknown"));
+    let passed_on = server.stats().last_deadline_ms;
+    assert!((1..=300).contains(&passed_on), "{passed_on}");
+    wait_until("the server is told", || async { server.stats().cancelled == 1 }).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_busy_steady_system_logs_nothing() {
+    let system = System::start(PROGRAM, 3, 3).await;
+    let _servers =
+        [system.server("l-1", "look", "east").await, system.server("l-2", "look", "west").await];
+    for index in 0..3 {
+        system.wait_warm(index, 2).await;
+    }
+    let logs = || (0..3).map(|index| system.group.log(index)).collect::<Vec<_>>();
+    let before = logs();
+    for number in 0..3_000 {
+        let _ = system.look(number % 3).await;
+    }
+    assert_eq!(logs(), before, "lines are for changes of state only");
+}
--- a/crates/testkit/src/behaviour.rs
+++ b/crates/testkit/src/behaviour.rs
@@ -94,6 +94,8 @@
     pub cold_overloads: u64,
     /// Requests whose connection was closed before they ended.
     pub cancelled: u64,
+    /// Deadline stated by the last request, in milliseconds.
+    pub last_deadline_ms: u64,
     /// Requests in flight.
     pub in_flight: u32,
     /// Requests run since the last start.
--- a/crates/testkit/src/fake_server.rs
+++ b/crates/testkit/src/fake_server.rs
@@ -284,6 +284,7 @@
     let mut stats = core.stats.lock();
     stats.executions += 1;
     stats.since_start += 1;
+    stats.last_deadline_ms = text(headers, header::DEADLINE).parse().unwrap_or(0);
     let key = text(headers, header::IDEMPOTENCY_KEY);
     if !key.is_empty() {
         *stats.by_key.entry(key).or_default() += 1;
--- a/crates/testkit/src/process_group.rs
+++ b/crates/testkit/src/process_group.rs
@@ -97,6 +97,11 @@
         self.processes[index].child.as_ref().map(Child::id)
     }
 
+    /// Returns what a process has logged so far.
+    pub fn log(&self, index: usize) -> String {
+        fs::read_to_string(self.settings_path(index).with_extension("log")).unwrap_or_default()
+    }
+
     /// Kills a process (SIGKILL).
     pub fn kill(&mut self, index: usize) -> io::Result<()> {
         if let Some(mut child) = self.processes[index].child.take() {
