Show operators the leader's view, so that they read their own changes

Cause: `apply` followed at once by `diff` or a second `apply` compared with the view of an entry, up to 300 ms old: diff showed version 0, and apply met a false conflict. Found by a flaky run of exit_codes_tell_scripts_what_happened. Ruled out: the decision itself (the leader's state had version 1). Now GET /v1/view is a quorum read at the leader, and falls back to the local view without one; GET /v1/view/local shows what a process goes by.

Also a test that was wrong: a_frozen_leader asserted the change at an entry at once after its acceptance; the promise is two seconds after. It now waits for those two seconds, asserts that it is in force, and that it stays so while the old leader thaws.

--- a/crates/daemon/src/backend.rs
+++ b/crates/daemon/src/backend.rs
@@ -18,6 +18,9 @@
 /// How long a change is submitted again until its fate is known.
 const CHANGE_TIMEOUT: Duration = Duration::from_secs(4);
 
+/// How long the leader is asked for the current view, before this process's own is shown.
+const VIEW_TIMEOUT: Duration = Duration::from_millis(1_500);
+
 /// The operators' view of this process.
 pub(crate) struct ProcessBackend {
     pub(crate) process: HostName,
@@ -54,6 +57,13 @@
     }
 
     async fn view(&self) -> ViewPage {
+        if let Some(view) = self.leader.read_view(VIEW_TIMEOUT).await {
+            return ViewPage::new(&view);
+        }
+        self.local_view().await
+    }
+
+    async fn local_view(&self) -> ViewPage {
         match (self.roles.entry.get(), self.roles.replica.get()) {
             (Some(entry), _) => ViewPage::new(&entry.view()),
             (None, Some(replica)) => ViewPage::new(&replica.view()),
--- a/crates/daemon/tests/freshness.rs
+++ b/crates/daemon/tests/freshness.rs
@@ -76,12 +76,12 @@
     let answer = system.drain("east", 0).await;
     assert_eq!(answer, ChangeAnswer::Accepted { version: DocumentVersion(1) });
     system.wait_served(3, "look").await;
+    // In force two seconds after it was accepted, and from then on.
+    pause(limit_ms()).await;
+    assert!(has_drain(&system, 3).await, "the change is not in force");
     system.group.signal(leader, "CONT").expect("thawed");
     for _ in 0..20 {
-        let page =
-            system.operators.get::<operator::ViewPage>(&system.endpoint(3), "/v1/view").await;
-        let page = page.expect("answers");
-        assert!(page.drains.iter().any(|drain| drain.is_drained), "the change reverted");
+        assert!(has_drain(&system, 3).await, "the change reverted");
         pause(100).await;
     }
     // The old leader follows, and knows the change.
@@ -97,6 +97,13 @@
     assert!(conflict(&again), "{again:?}");
 }
 
+/// Says whether an entry goes by a view with a drain.
+async fn has_drain(system: &System, index: usize) -> bool {
+    let endpoint = system.endpoint(index);
+    let page = system.operators.get::<operator::ViewPage>(&endpoint, "/v1/view/local").await;
+    page.expect("answers").drains.iter().any(|drain| drain.is_drained)
+}
+
 fn timed(timeout_ms: u32) -> TeamDocument {
     document(timeout_ms)
 }
@@ -132,7 +139,8 @@
         let mut is_current = true;
         for index in 0..3 {
             let endpoint = system.endpoint(index);
-            let page = system.operators.get::<operator::ViewPage>(&endpoint, "/v1/view").await;
+            let page =
+                system.operators.get::<operator::ViewPage>(&endpoint, "/v1/view/local").await;
             is_current &= page.is_ok_and(|page| {
                 page.documents.iter().all(|known| {
                     known.version == DocumentVersion(version)
--- a/crates/entry/src/freshness.rs
+++ b/crates/entry/src/freshness.rs
@@ -49,7 +49,7 @@
     async fn renew(&mut self) {
         let sent = Instant::now();
         let version = self.context.view().version;
-        let entry = self.context.info.read().clone();
+        let entry = Some(self.context.info.read().clone());
         let request = PeerRequest::Freshness(FreshnessRequest { entry, version });
         let answer = self.leader.ask(&request, RENEW_TIMEOUT, is_granted).await;
         match answer {
@@ -98,7 +98,8 @@
     }
 }
 
-fn is_granted(answer: &PeerAnswer) -> LeaderAnswer {
+/// Says whether the answer to a freshness request comes from the leader.
+pub(crate) fn is_granted(answer: &PeerAnswer) -> LeaderAnswer {
     match answer {
         PeerAnswer::Freshness(answer) => match answer.as_ref() {
             FreshnessAnswer::Granted(_) => LeaderAnswer::Here,
--- a/crates/entry/src/leader.rs
+++ b/crates/entry/src/leader.rs
@@ -1,15 +1,19 @@
 //! Finds the leader of the replicas and follows it as it changes.
 
+use crate::freshness::is_granted;
 use consensus::MembershipChange;
 use futures_util::{StreamExt, stream::FuturesUnordered};
 use parking_lot::Mutex;
-use peer::{PeerAnswer, PeerError, PeerLink, PeerRequest, PeerTarget, SubmitAnswer};
+use peer::{
+    FreshnessAnswer, FreshnessRequest, PeerAnswer, PeerError, PeerLink, PeerRequest, PeerTarget,
+    SubmitAnswer,
+};
 use std::{
     net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
 };
-use types::{Command, CommandAnswer, HostName};
+use types::{ClusterView, Command, CommandAnswer, HostName, ViewUpdate, ViewVersion};
 
 /// Time allowed for one request to the leader.
 const CALL_TIMEOUT: Duration = Duration::from_millis(700);
@@ -96,6 +100,22 @@
         self.submit_request(&PeerRequest::ChangeMembership(change), deadline).await
     }
 
+    /// Reads the whole view as of now. Returns `None` if no leader confirms it in time.
+    pub async fn read_view(&self, timeout: Duration) -> Option<ClusterView> {
+        let version = ViewVersion(u64::MAX);
+        let request = PeerRequest::Freshness(FreshnessRequest { entry: None, version });
+        let PeerAnswer::Freshness(answer) = self.ask(&request, timeout, is_granted).await? else {
+            return None;
+        };
+        match *answer {
+            FreshnessAnswer::Granted(grant) => match grant.update {
+                ViewUpdate::Whole(view) => Some(*view),
+                ViewUpdate::Changes(_) => None,
+            },
+            FreshnessAnswer::NotLeader(_) => None,
+        }
+    }
+
     /// Submits a command until its fate is known or the deadline passes. The command must be one
     /// that may be decided twice without harm.
     pub async fn submit(&self, command: Command, deadline: Instant) -> SubmitResult {
--- a/crates/operator/src/backend.rs
+++ b/crates/operator/src/backend.rs
@@ -24,9 +24,13 @@
     /// Returns this process at a glance.
     async fn status(&self) -> StatusPage;
 
-    /// Returns the configuration in force, as this process knows it.
+    /// Returns the configuration in force: the leader's, or while there is none as this process
+    /// knows it.
     async fn view(&self) -> ViewPage;
 
+    /// Returns the configuration that this process goes by.
+    async fn local_view(&self) -> ViewPage;
+
     /// Decides a change.
     async fn change(&self, change: ChangeRequest) -> Result<ChangeAnswer, BackendError>;
 
--- a/crates/operator/src/routes.rs
+++ b/crates/operator/src/routes.rs
@@ -101,6 +101,10 @@
         .and(warp::path!("v1" / "view"))
         .and(with_backend.clone())
         .then(|backend: Arc<dyn OperatorBackend>| async move { json(&backend.view().await) });
+    let local_view = warp::get()
+        .and(warp::path!("v1" / "view" / "local"))
+        .and(with_backend.clone())
+        .then(|backend: Arc<dyn OperatorBackend>| async move { json(&backend.local_view().await) });
     let events = post("events").and(with_backend.clone()).then(
         |body: Vec<u8>, backend: Arc<dyn OperatorBackend>| async move {
             match parse::<TimelineFilter>(&body) {
@@ -131,10 +135,12 @@
             }
         },
     );
-    status.or(view).or(events).or(changes).or(bootstrap).or(membership).recover(|_| async {
-        let body = ErrorBody { error: "no such path, method, or a body too large".to_owned() };
-        Ok::<_, Infallible>(with_status(json(&body), StatusCode::NOT_FOUND))
-    })
+    status.or(view).or(local_view).or(events).or(changes).or(bootstrap).or(membership).recover(
+        |_| async {
+            let body = ErrorBody { error: "no such path, method, or a body too large".to_owned() };
+            Ok::<_, Infallible>(with_status(json(&body), StatusCode::NOT_FOUND))
+        },
+    )
 }
 
 /// Matches `POST /v1/{name}` and takes the body.
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -61,11 +61,11 @@
     Refused(String),
 }
 
-/// An entry's request to confirm its view.
+/// A request to confirm a view.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct FreshnessRequest {
-    /// The entry; registered with this if it is new.
-    pub entry: EntryInfo,
+    /// The entry that asks; registered with this if it is new. `None` for a plain read.
+    pub entry: Option<EntryInfo>,
     /// The version of its view.
     pub version: ViewVersion,
 }
--- a/crates/replica/src/driver.rs
+++ b/crates/replica/src/driver.rs
@@ -281,9 +281,11 @@
             answer(reply, FreshnessAnswer::NotLeader(hint));
             return;
         }
-        self.watch.observe(&request.entry.name, request.version, Instant::now());
-        for command in EntryWatch::registration(self.state.view(), &request.entry) {
-            self.propose_own(command);
+        if let Some(entry) = &request.entry {
+            self.watch.observe(&entry.name, request.version, Instant::now());
+            for command in EntryWatch::registration(self.state.view(), entry) {
+                self.propose_own(command);
+            }
         }
         self.freshness.insert(token, PendingFreshness { request, reply });
     }
--- a/crates/replica/src/handle.rs
+++ b/crates/replica/src/handle.rs
@@ -72,7 +72,8 @@
                 Some(PeerAnswer::Done)
             }
             PeerRequest::Freshness(request) => {
-                if request.entry.name.as_str() != host.as_str() {
+                let entry = request.entry.as_ref();
+                if entry.is_some_and(|entry| entry.name.as_str() != host.as_str()) {
                     return Some(PeerAnswer::Refused("entry and certificate differ".to_owned()));
                 }
                 Some(PeerAnswer::Freshness(Box::new(self.freshness(request).await)))
--- a/crates/replica/tests/driver.rs
+++ b/crates/replica/tests/driver.rs
@@ -151,7 +151,7 @@
         operator_address: address(1),
         serving: true,
     };
-    FreshnessRequest { entry, version: ViewVersion(0) }
+    FreshnessRequest { entry: Some(entry), version: ViewVersion(0) }
 }
 
 fn drain(number: u128, expected: u64) -> Command {
--- a/crates/testkit/examples/bench_replicas.rs
+++ b/crates/testkit/examples/bench_replicas.rs
@@ -179,7 +179,8 @@
         let mut is_everywhere = true;
         for index in 0..system.group.processes.len() {
             let endpoint = system.endpoint(index);
-            let page = system.operators.get::<operator::ViewPage>(&endpoint, "/v1/view").await;
+            let page =
+                system.operators.get::<operator::ViewPage>(&endpoint, "/v1/view/local").await;
             is_everywhere &= page
                 .is_ok_and(|page| page.drains.iter().any(|drain| drain.version.0 == version + 1));
         }
@@ -211,7 +212,8 @@
             (0..system.group.processes.len()).filter(|index| *index != leader).collect();
         while !missing.is_empty() {
             let endpoint = system.endpoint(missing[0]);
-            let page = system.operators.get::<operator::ViewPage>(&endpoint, "/v1/view").await;
+            let page =
+                system.operators.get::<operator::ViewPage>(&endpoint, "/v1/view/local").await;
             if page.is_ok_and(|p| p.drains.iter().any(|drain| drain.version.0 == 41 + round)) {
                 missing.remove(0);
             }
