Say "not run" of a repeatable request only if no try can have run it

Cause, found by reading the dispatcher: a lookup whose first try broke after it was sent, and whose second try was shed or found no room, was answered with what the last try said: "not run". The same after handing over and after a hedge that lost. Ruled out: requests that may not be repeated; they end at the first try that may have run. Now a request counts its tries that were begun and not proved to have run nothing, tries that were dropped included; "not run" becomes "unknown" while that count is above zero. Before: a_lookup_that_one_server_ran_is_not_called_not_run fails ("it ran"); after: passes.

--- a/crates/daemon/tests/at_most_once.rs
+++ b/crates/daemon/tests/at_most_once.rs
@@ -209,3 +209,29 @@
     assert_eq!((answer.status, outcome(&answer)), (409, "ran"));
     assert_eq!(runs(&[&server], &key), 1);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lookup_that_one_server_ran_is_not_called_not_run_because_another_shed_it() {
+    let system = System::start(PROGRAM, 1, 1).await;
+    let running = system.server("l-1", "look", "east").await;
+    let shedding = system.server("l-2", "look", "west").await;
+    let mut checked = 0;
+    for _ in 0..5 {
+        for server in [&running, &shedding] {
+            server.change(|behaviour| behaviour.mode = FakeMode::Normal);
+        }
+        system.wait_warm(0, 2).await;
+        running.change(|behaviour| behaviour.mode = FakeMode::DropAfterRun);
+        shedding.change(|behaviour| behaviour.mode = FakeMode::ShedNotRun);
+        for _ in 0..4 {
+            let key = new_key();
+            let request = testkit::HttpRequest::get("/v1/call/look/x")
+                .with(types::header::IDEMPOTENCY_KEY, &key);
+            let answer = system.client.send(system.caller(0), request).await.expect("answers");
+            let count = runs(&[&running], &key);
+            checked += count;
+            assert!(!(outcome(&answer) == "not-run" && count > 0), "it ran");
+        }
+    }
+    assert!(checked > 1, "the case hardly came about");
+}
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -2,9 +2,10 @@
 
 use crate::{
     EntryContext,
+    active_call::{ActiveCall, CallSource},
     claims::ClaimLedger,
     context::{left_ms, whole_ms},
-    lane::{AcquireError, ServerPermit, ServiceLane},
+    lane::{AcquireError, ServerPermit},
     once::OnceRunner,
     roster::ServerRoster,
     tries::{PreparedCall, TryEnd, TryRunner},
@@ -40,26 +41,6 @@
 /// Time after which a caller should ask again while an entry is closed.
 const CLOSED_RETRY_AFTER: Duration = Duration::from_millis(500);
 
-/// Where a request came from.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum CallSource {
-    /// A caller.
-    Caller,
-    /// Another entry handed it over; it is not handed over again.
-    Entry,
-}
-
-/// A request on its way, with what is known about it.
-pub(crate) struct ActiveCall {
-    pub(crate) call: CallRequest,
-    /// The key that the caller gave. A key made by this entry is in `call` only.
-    pub(crate) stated_key: Option<Uuid>,
-    pub(crate) prepared: PreparedCall,
-    pub(crate) lane: Arc<ServiceLane>,
-    pub(crate) deadline: Instant,
-    pub(crate) source: CallSource,
-}
-
 /// What handing a request over came to.
 pub(crate) enum HandOverEnd {
     /// The other entry's answer.
@@ -152,9 +133,9 @@
         let _held = lane.hold(&self.roster.lanes.held);
         lane.note_request(spec);
         let deadline = Instant::now() + allowed_time(&call, spec);
-        let active = ActiveCall { call, stated_key, prepared, lane, deadline, source };
+        let active = ActiveCall::new(call, stated_key, prepared, lane, deadline, source);
         if is_repeatable {
-            self.run_repeatable(&active).await
+            active.qualify(self.run_repeatable(&active).await)
         } else {
             self.run_detached(active).await
         }
@@ -211,7 +192,7 @@
     ) -> TryEnd {
         let started = Instant::now();
         let half = active.deadline.saturating_duration_since(started) / 2;
-        let first = self.runner.run(&active.call, &active.prepared, permit, active.deadline);
+        let first = self.runner.run(active, permit);
         tokio::pin!(first);
         if let Some(delay) = active.lane.hedge_delay().filter(|delay| *delay < half) {
             tokio::select! {
@@ -246,7 +227,7 @@
         self.context.counters.calls.count("hedged");
         let detail = format!("to {}", permit.server.name);
         self.context.record_call(EventKind::CallHedged, active.call.id, detail);
-        let second = self.runner.run(&active.call, &active.prepared, permit, active.deadline);
+        let second = self.runner.run(active, permit);
         tokio::pin!(second);
         tokio::select! {
             end = &mut first => match end {
@@ -331,9 +312,18 @@
         let deadline_ms = left_ms(deadline);
         let call = CallRequest { deadline_ms, ..active.call.clone() };
         let timeout = Duration::from_millis(u64::from(deadline_ms));
+        active.note_sent();
         match self.link.call(&target, PeerRequest::HandOver(call), timeout).await {
-            Ok(PeerAnswer::HandOver(answer)) => HandOverEnd::Answered(*answer),
-            Ok(_) | Err(PeerError::NotReached { .. }) => HandOverEnd::NotReached,
+            Ok(PeerAnswer::HandOver(answer)) => {
+                if answer.outcome == CallOutcome::NotRun {
+                    active.note_not_run();
+                }
+                HandOverEnd::Answered(*answer)
+            }
+            Ok(_) | Err(PeerError::NotReached { .. }) => {
+                active.note_not_run();
+                HandOverEnd::NotReached
+            }
             Err(error) => HandOverEnd::Unknown(error.to_string()),
         }
     }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! Decisions live in `policy`; this package wires them to links, connections and timers.
 
+mod active_call;
 mod claims;
 mod context;
 mod dispatch;
--- a/crates/entry/src/once.rs
+++ b/crates/entry/src/once.rs
@@ -2,10 +2,9 @@
 
 use crate::{
     EntryContext,
+    active_call::{ActiveCall, CallSource},
     claims::{ClaimError, ClaimLedger},
-    dispatch::{
-        ActiveCall, CallDispatcher, CallSource, HandOverEnd, MAX_TRIES, unseen_outcome, with_key,
-    },
+    dispatch::{CallDispatcher, HandOverEnd, MAX_TRIES, unseen_outcome, with_key},
     lane::AcquireError,
     tries::{TryEnd, TryRunner},
 };
@@ -42,7 +41,7 @@
             Some(answer) => answer,
             None => self.run_claimed(dispatcher, &active, key).await,
         };
-        with_key(answer, key)
+        with_key(active.qualify(answer), key)
     }
 
     /// Hands the request over if only another entry may give servers work. The claim is taken
@@ -126,7 +125,7 @@
                 Err(AcquireError::NoneEligible(_) | AcquireError::TooBusy(_)) => return last,
             };
             excluded.push(permit.server.name.clone());
-            last = self.runner.run(&active.call, &active.prepared, permit, active.deadline).await;
+            last = self.runner.run(active, permit).await;
             if !matches!(last, TryEnd::NotRun(_)) {
                 return last;
             }
--- a/crates/entry/src/tries.rs
+++ b/crates/entry/src/tries.rs
@@ -1,6 +1,6 @@
 //! One try of a request at one server.
 
-use crate::{EntryContext, lane::ServerPermit};
+use crate::{EntryContext, active_call::ActiveCall, lane::ServerPermit};
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, uri::PathAndQuery};
 use platform::EventKind;
@@ -76,15 +76,9 @@
 
 impl TryRunner {
     /// Sends a request to the permit's server and ends the permit.
-    pub(crate) async fn run(
-        &self,
-        call: &CallRequest,
-        prepared: &PreparedCall,
-        permit: ServerPermit,
-        deadline: Instant,
-    ) -> TryEnd {
+    pub(crate) async fn run(&self, active: &ActiveCall, permit: ServerPermit) -> TryEnd {
         let server = permit.server.name.clone();
-        let address = permit.server.address;
+        let (address, deadline) = (permit.server.address, active.deadline);
         let connection = match self.transport.connect(address, deadline).await {
             Ok(connection) => connection,
             Err(error) => {
@@ -92,17 +86,22 @@
                 return TryEnd::NotRun(format!("{server}: {error}"));
             }
         };
-        self.context.record_call(EventKind::CallSent, call.id, format!("to {server}"));
+        self.context.record_call(EventKind::CallSent, active.call.id, format!("to {server}"));
         let started = Instant::now();
-        let guard = self.guard();
-        let result = connection.send(prepared.request(deadline), guard, deadline).await;
+        active.note_sent();
+        let request = active.prepared.request(deadline);
+        let result = connection.send(request, self.guard(), deadline).await;
         let outcome = send_outcome(&result, started);
         if outcome == TryOutcome::Broken {
             self.transport.forget(address);
         }
         let stated = result.as_ref().map(stated_load).unwrap_or_default();
         permit.finish(outcome, &stated);
-        judge(&server, result)
+        let end = judge(&server, result);
+        if matches!(end, TryEnd::NotRun(_) | TryEnd::Closed) {
+            active.note_not_run();
+        }
+        end
     }
 
     fn guard(&self) -> StartGuard {
