Give a steward's own cold servers a share of light load

Cause: a time line test waited 40 s in vain for a cold server to become warm at its steward. Since an unknown server counts as a typical one, the choice by latency left the cold one idle at light load; hand-overs warm only others' servers. Ruled out: the ramp (24 answers for 3 slots) and its room. Now an entry gives its own cold servers a request at most each 10 ms, as it already hands over to others.

--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -161,7 +161,7 @@
             if number > 0 && !self.may_retry(active, &last) {
                 break;
             }
-            let prefers_cold = active.source == CallSource::Entry;
+            let prefers_cold = active.source == CallSource::Entry || active.lane.take_own_warm_up();
             let acquired = active.lane.acquire(&excluded, prefers_cold, active.deadline).await;
             let permit = match acquired {
                 Ok(permit) => permit,
--- a/crates/entry/src/lane.rs
+++ b/crates/entry/src/lane.rs
@@ -21,7 +21,7 @@
 
 /// Number of independently locked parts of the table of lanes.
 const SHARD_COUNT: usize = 16;
-/// Least time between two requests that an entry hands over to warm a service's cold servers.
+/// Least time between two requests by which an entry warms a service's cold servers.
 const WARM_UP_INTERVAL: Duration = Duration::from_millis(10);
 
 /// Answers after which the latency of a lane counts as known.
@@ -67,6 +67,7 @@
     hedges: RetryBudget,
     latency: LatencyTracker,
     last_warm_up: Option<Instant>,
+    last_own_warm_up: Option<Instant>,
 }
 
 /// All that an entry holds of one service.
@@ -130,6 +131,7 @@
             hedges: RetryBudget::new(0),
             latency: LatencyTracker::default(),
             last_warm_up: None,
+            last_own_warm_up: None,
         };
         Self { context, observer, state: Mutex::new(state), held: AtomicUsize::new(0) }
     }
@@ -214,6 +216,19 @@
         stewards.into_iter().nth(chosen)
     }
 
+    /// Says whether it is time to give one of this steward's own cold servers a request. The choice
+    /// by latency alone would leave them cold where few requests come.
+    pub(crate) fn take_own_warm_up(&self) -> bool {
+        let now = Instant::now();
+        let mut state = self.state.lock();
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < WARM_UP_INTERVAL;
+        if state.last_own_warm_up.is_some_and(is_recent) || !state.load.has_own_cold(now) {
+            return false;
+        }
+        state.last_own_warm_up = Some(now);
+        true
+    }
+
     /// Says whether a server has answered a request of this entry lately.
     pub(crate) fn has_answered_lately(&self, server: &ServerName, now: Instant) -> bool {
         self.state.lock().load.has_answered_lately(server, now)
--- a/crates/policy/src/service_load.rs
+++ b/crates/policy/src/service_load.rs
@@ -219,6 +219,12 @@
             .any(|server| server.limit(now) > 0 && is_confirmed(&server.view.steward))
     }
 
+    /// Says whether a cold server of this steward has room.
+    pub fn has_own_cold(&self, now: Instant) -> bool {
+        let has_room = |server: &ServerLoad| server.in_flight < server.limit(now);
+        self.servers.iter().any(|server| server.ramp.is_some() && has_room(server))
+    }
+
     /// Says whether a server has answered lately.
     pub fn has_answered_lately(&self, server: &ServerName, now: Instant) -> bool {
         let found =
