--- a/crates/consensus/src/effects.rs
+++ b/crates/consensus/src/effects.rs
@@ -27,6 +27,15 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct ReadToken(pub u64);
 
+/// A read whose quorum round is done.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ReadyRead {
+    /// The read.
+    pub token: ReadToken,
+    /// What must be applied before it is served.
+    pub index: LogIndex,
+}
+
 /// The work that one batch of inputs causes.
 ///
 /// Order: send `early_messages`; make `install`, `hard_state`, `truncate_from` and `entries`
@@ -47,8 +56,8 @@
     pub messages: Vec<Envelope>,
     /// Entries to apply, in order.
     pub committed: Vec<LogEntry>,
-    /// Reads whose round is done, each with the index that must be applied before it is served.
-    pub reads: Vec<(ReadToken, LogIndex)>,
+    /// Reads whose round is done.
+    pub reads: Vec<ReadyRead>,
     /// Reads that can no longer be served here.
     pub failed_reads: Vec<ReadToken>,
 }
--- a/crates/consensus/src/leader.rs
+++ b/crates/consensus/src/leader.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     Consensus, ConsensusError, LogIndex, LogPayload, MemberRole, MembershipChange, MembershipError,
-    Message, ReadToken, ReplicaId, core::RoleState,
+    Message, ReadToken, ReadyRead, ReplicaId, core::RoleState,
 };
 use smallvec::SmallVec;
 use std::collections::{BTreeMap, VecDeque};
@@ -371,7 +371,7 @@
         let commit = self.commit;
         if let RoleState::Leader(leadership) = &mut self.role {
             for read in leadership.reads.drain(..done) {
-                self.effects.reads.push((read.token, commit));
+                self.effects.reads.push(ReadyRead { token: read.token, index: commit });
             }
         }
     }
--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -14,7 +14,7 @@
 mod verify;
 
 pub use crate::core::{Consensus, ConsensusError, CoreSettings, LeaderHint, ReplicaRole};
-pub use effects::{Effects, HardState, ReadToken, Restored};
+pub use effects::{Effects, HardState, ReadToken, ReadyRead, Restored};
 pub use leader::FollowerStatus;
 pub use log::{LogEntry, LogIndex, LogPayload, SnapshotImage, Term};
 pub use membership::{
--- a/crates/ctl/src/replicas.rs
+++ b/crates/ctl/src/replicas.rs
@@ -21,29 +21,42 @@
 
 async fn init(session: &Session) -> Result<(), CtlError> {
     let mut members = Vec::with_capacity(session.endpoints.len());
-    let mut uninitialised = Vec::new();
+    let mut pages = Vec::new();
     for (endpoint, page) in session.all_status().await {
         let page = page?;
-        if page.replica.is_none() {
-            continue;
+        if page.replica.is_some() {
+            members.push(member_of(&page, MemberRole::Voter)?);
+            pages.push((endpoint, page));
         }
-        let member = member_of(&page, MemberRole::Voter)?;
-        if page.replica.as_ref().is_some_and(|replica| replica.is_initialised) {
-            println!("{} is initialised already", page.process);
-        }
-        members.push(member);
-        uninitialised.push(endpoint);
     }
     if members.is_empty() {
         return Err(CtlError::Usage("no endpoint is a replica".to_owned()));
     }
-    for endpoint in &uninitialised {
+    // Nothing is sent unless all replicas are empty, or were given this same group before.
+    for (_, page) in &pages {
+        check_group(page, &members)?;
+    }
+    for (endpoint, _) in &pages {
         session.client.post::<_, ()>(endpoint, "/v1/bootstrap", &members).await?;
     }
     println!("group of {} replicas formed", members.len());
     Ok(())
 }
 
+/// Refuses to form a group with a replica that belongs to another one.
+fn check_group(page: &StatusPage, members: &[Member]) -> Result<(), CtlError> {
+    let Some(replica) = page.replica.as_ref().filter(|replica| replica.is_initialised) else {
+        return Ok(());
+    };
+    let is_same = replica.members.len() == members.len()
+        && replica.members.iter().all(|known| members.iter().any(|m| m.id == known.member.id));
+    if is_same {
+        return Ok(());
+    }
+    let reason = format!("{} belongs to a group already; use `replica add`", page.process);
+    Err(CtlError::RefusedRequest(reason))
+}
+
 async fn add(session: &Session, endpoint: &OperatorEndpoint) -> Result<(), CtlError> {
     let page: StatusPage = session.client.get(endpoint, "/v1/status").await?;
     let member = member_of(&page, MemberRole::Learner)?;
--- a/crates/entry/src/leader.rs
+++ b/crates/entry/src/leader.rs
@@ -8,12 +8,13 @@
     FreshnessAnswer, FreshnessRequest, PeerAnswer, PeerError, PeerLink, PeerRequest, PeerTarget,
     SubmitAnswer,
 };
+use platform::ReplicaAddress;
 use std::{
     net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
 };
-use types::{ClusterView, Command, CommandAnswer, HostName, ViewUpdate, ViewVersion};
+use types::{ClusterView, Command, CommandAnswer, ViewUpdate, ViewVersion};
 
 /// Time allowed for one request to the leader.
 const CALL_TIMEOUT: Duration = Duration::from_millis(700);
@@ -50,13 +51,13 @@
     }
 
     /// Takes over the replicas that a leader names.
-    pub fn learn(&self, replicas: &[(HostName, SocketAddr)]) {
+    pub fn learn(&self, replicas: &[ReplicaAddress]) {
         if replicas.is_empty() {
             return;
         }
         let known = replicas
             .iter()
-            .map(|(host, address)| PeerTarget { host: host.clone(), address: *address })
+            .map(|replica| PeerTarget { host: replica.host.clone(), address: replica.address })
             .collect();
         self.targets.lock().known = known;
     }
--- a/crates/peer/src/keys.rs
+++ b/crates/peer/src/keys.rs
@@ -158,9 +158,11 @@
     distinguished
 }
 
+/// Makes a certificate valid for some days from now, and already for the last two, so that hosts
+/// with slow clocks accept it.
 fn set_validity(params: &mut CertificateParams, days: i64) {
     let now = OffsetDateTime::now_utc();
-    params.not_before = now - Duration::days(1).min(Duration::days(days.abs() + 1));
+    params.not_before = now - Duration::days(2);
     params.not_after = now + Duration::days(days);
 }
 
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -1,6 +1,7 @@
 //! Messages between processes.
 
 use consensus::{Envelope, MembershipChange};
+use platform::ReplicaAddress;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use types::{
@@ -85,7 +86,7 @@
     /// What the entry lacks.
     pub update: ViewUpdate,
     /// All replicas, for the next requests.
-    pub replicas: Vec<(HostName, SocketAddr)>,
+    pub replicas: Vec<ReplicaAddress>,
 }
 
 /// The answer to a command.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -26,9 +26,7 @@
 pub use latency::LatencyTracker;
 pub use probe_budget::ProbeBudget;
 pub use retry_budget::RetryBudget;
-pub use selection::{
-    CandidateLoad, InFlightSelector, LatencySelector, RandomSelector, ServerSelector,
-};
+pub use selection::{CandidateLoad, LatencySelector, ServerSelector};
 pub use service_load::{
     LoadSettings, PickResult, PickedServer, ReleaseNotes, ServerView, ServiceLoad, StatedLoad,
     expected_wait,
--- a/crates/policy/src/selection.rs
+++ b/crates/policy/src/selection.rs
@@ -1,4 +1,6 @@
 //! Choice of a server among those that may take a request.
+//!
+//! docs/design/0007-selection.md compares it with other ways.
 
 use rand::{Rng, RngCore};
 use smallvec::SmallVec;
@@ -18,7 +20,8 @@
 }
 
 impl CandidateLoad {
-    fn has_room(&self) -> bool {
+    /// Says whether this entry may send the server one more request.
+    pub fn has_room(&self) -> bool {
         self.in_flight < self.limit
     }
 }
@@ -29,26 +32,6 @@
     fn pick(&self, candidates: &[CandidateLoad], rng: &mut dyn RngCore) -> Option<usize>;
 }
 
-/// Picks any server with room.
-#[derive(Debug, Clone, Copy, Default)]
-pub struct RandomSelector;
-
-impl ServerSelector for RandomSelector {
-    fn pick(&self, candidates: &[CandidateLoad], rng: &mut dyn RngCore) -> Option<usize> {
-        pick_with_room(candidates, rng)
-    }
-}
-
-/// Picks the one with fewer own requests in flight, of two drawn at random.
-#[derive(Debug, Clone, Copy, Default)]
-pub struct InFlightSelector;
-
-impl ServerSelector for InFlightSelector {
-    fn pick(&self, candidates: &[CandidateLoad], rng: &mut dyn RngCore) -> Option<usize> {
-        better_of_two(candidates, rng, |candidate| f64::from(candidate.in_flight))
-    }
-}
-
 /// Reports older than this count for nothing.
 const REPORT_MAX_AGE: Duration = Duration::from_millis(100);
 /// Latency assumed of a server that has not answered yet.
--- a/crates/replica/src/driver/reads.rs
+++ b/crates/replica/src/driver/reads.rs
@@ -4,9 +4,9 @@
 use crate::entry_watch::EntryWatch;
 use consensus::ReadToken;
 use peer::{FreshnessAnswer, FreshnessGrant, FreshnessRequest};
-use std::{net::SocketAddr, time::Instant};
+use platform::ReplicaAddress;
+use std::time::Instant;
 use tokio::sync::oneshot;
-use types::HostName;
 
 impl ReplicaDriver {
     pub(super) fn start_freshness(
@@ -33,10 +33,10 @@
     pub(super) fn finish_freshness(&mut self) {
         let applied = self.applied;
         let ready = std::mem::take(&mut self.ready_reads);
-        for (token, index) in ready {
-            if index > applied {
-                self.ready_reads.push((token, index));
-            } else if let Some(pending) = self.freshness.remove(&token) {
+        for read in ready {
+            if read.index > applied {
+                self.ready_reads.push(read);
+            } else if let Some(pending) = self.freshness.remove(&read.token) {
                 let update = self.state.update_since(pending.request.version);
                 let replicas = self.replica_addresses();
                 let grant = FreshnessGrant { update, replicas };
@@ -52,8 +52,10 @@
         }
     }
 
-    pub(super) fn replica_addresses(&self) -> Vec<(HostName, SocketAddr)> {
+    pub(super) fn replica_addresses(&self) -> Vec<ReplicaAddress> {
         let members = self.core.membership().members().iter();
-        members.map(|member| (member.host.clone(), member.address)).collect()
+        members
+            .map(|member| ReplicaAddress { host: member.host.clone(), address: member.address })
+            .collect()
     }
 }
--- /dev/null
+++ b/crates/replica/src/driver/snapshots.rs
@@ -0,0 +1,100 @@
+//! Snapshots: the first one that forms a group, those made as the log grows, and those of a leader.
+
+use super::ReplicaDriver;
+use crate::store::{LogBatch, StoreError};
+use consensus::{Consensus, LogIndex, Member, Membership, Restored, SnapshotImage, Term};
+use slog::{error, info, warn};
+use std::sync::Arc;
+use types::{ClusterState, LogTime};
+
+/// A snapshot is made when the log has at least this many bytes, and twice those of the last one.
+const SNAPSHOT_MIN_LOG_BYTES: u64 = 4 * 1024 * 1024;
+/// Entries kept in memory after a snapshot, for followers that are a little behind.
+const TAIL_ENTRIES: u64 = 4_096;
+
+impl ReplicaDriver {
+    pub(super) fn bootstrap(&mut self, members: Vec<Member>) -> Result<(), String> {
+        let ids = |membership: &Membership| {
+            let mut ids: Vec<_> = membership.members().iter().map(|member| member.id).collect();
+            ids.sort();
+            ids
+        };
+        let membership = Membership::new(members);
+        if self.core.last_index() > LogIndex(0) {
+            return if ids(self.core.membership()) == ids(&membership) {
+                Ok(())
+            } else {
+                Err("this replica belongs to a group already".to_owned())
+            };
+        }
+        if !membership.is_voter(self.settings.identity) {
+            return Err("this replica is not among the members".to_owned());
+        }
+        let state = encode_state(&self.state).map_err(|error| error.to_string())?;
+        let (index, term, time) = (LogIndex(1), Term(1), LogTime::default());
+        let image = SnapshotImage { index, term, time, membership, state };
+        let hard_state = self.core.hard_state();
+        let batch = LogBatch { hard_state: Some(hard_state), ..LogBatch::default() };
+        self.store.replace(&image, &batch).map_err(|error| error.to_string())?;
+        let restored = Restored { hard_state, image: Some(image), entries: Vec::new() };
+        self.core = Consensus::new(self.settings.identity, self.settings.core.clone(), restored);
+        self.applied = index;
+        info!(self.settings.logger, "group of replicas formed");
+        Ok(())
+    }
+
+    pub(super) fn install(&mut self, image: &SnapshotImage) {
+        match decode_state(Some(image)) {
+            Ok(state) => {
+                self.state = state;
+                self.applied = image.index;
+                self.snapshot_bytes = image.state.len() as u64;
+                info!(self.settings.logger, "snapshot installed"; "index" => image.index.0);
+            }
+            Err(error) => {
+                error!(self.settings.logger, "snapshot not usable"; "error" => %error);
+            }
+        }
+    }
+
+    pub(super) fn make_snapshot(&mut self) {
+        let limit = SNAPSHOT_MIN_LOG_BYTES.max(2 * self.snapshot_bytes);
+        if self.store.log_bytes() < limit {
+            return;
+        }
+        let Ok(state) = encode_state(&self.state) else {
+            return;
+        };
+        self.snapshot_bytes = state.len() as u64;
+        let hard_state = Some(self.core.hard_state());
+        let Some(image) = self.core.compact(self.applied, state, TAIL_ENTRIES).cloned() else {
+            return;
+        };
+        let newer = self.core.entries().iter().filter(|entry| entry.index > image.index);
+        let entries = newer.cloned().collect();
+        let batch = LogBatch { hard_state, truncate_from: None, entries };
+        match self.store.replace(&image, &batch) {
+            Ok(()) => self.settings.counters.count("snapshot-made"),
+            Err(error) => {
+                self.settings.counters.count("snapshot-failed");
+                warn!(self.settings.logger, "snapshot not written"; "error" => %error);
+            }
+        }
+    }
+}
+
+fn encode_state(state: &ClusterState) -> Result<Arc<[u8]>, postcard::Error> {
+    Ok(postcard::to_stdvec(state)?.into())
+}
+
+/// Reads the state machine from a snapshot; without one it is empty.
+pub(super) fn decode_state(image: Option<&SnapshotImage>) -> Result<ClusterState, StoreError> {
+    let Some(image) = image else {
+        return Ok(ClusterState::default());
+    };
+    postcard::from_bytes(&image.state).map_err(|error| StoreError::Damaged {
+        path: "snapshot".into(),
+        offset: 0,
+        reason: error.to_string(),
+    })
+}
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -9,6 +9,7 @@
 mod load_driver;
 mod memory_net;
 mod process_group;
+mod selectors;
 mod system;
 
 pub use announcer::announce;
@@ -16,7 +17,8 @@
 pub use fake_server::{FakeServer, FakeServerSettings};
 pub use http_client::{HttpAnswer, HttpClient, HttpRequest};
 pub use link_switch::LinkSwitch;
-pub use load_driver::{LoadPlan, LoadReportCard, run_load};
+pub use load_driver::{LoadPlan, LoadReportCard, latency_histogram, run_load};
 pub use memory_net::MemoryNet;
 pub use process_group::{GroupSettings, ProcessGroup, free_addresses};
+pub use selectors::{InFlightSelector, RandomSelector};
 pub use system::{System, document, new_key, outcome, pause, runs, wait_until};
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -34,8 +34,8 @@
 pub use server_info::{Announcement, AnnouncementError, ServerIncarnation, ServerState};
 pub use state::{ClusterState, Command, CommandAnswer, StateViolation};
 pub use view::{
-    ClusterView, EntryRecord, RANGE_COUNT, RangeIndex, RangeLease, VIEW_LOG_LIMIT, ViewChange,
-    ViewError, ViewUpdate, ViewVersion, server_range,
+    ClusterView, RANGE_COUNT, RangeIndex, RangeLease, VIEW_LOG_LIMIT, ViewChange, ViewError,
+    ViewUpdate, ViewVersion, server_range,
 };
 
 use std::time::Duration;
--- a/crates/types/src/view.rs
+++ b/crates/types/src/view.rs
@@ -37,13 +37,6 @@
     pub is_first: bool,
 }
 
-/// An entry as the replicated state knows it.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct EntryRecord {
-    /// Identity and addresses.
-    pub info: EntryInfo,
-}
-
 /// A change of the view.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ViewChange {
@@ -95,7 +88,7 @@
     documents: BTreeMap<TeamName, (TeamDocument, DocumentVersion)>,
     holders: BTreeMap<ServiceName, TeamName>,
     drains: BTreeMap<DomainName, (bool, DocumentVersion)>,
-    entries: BTreeMap<EntryName, EntryRecord>,
+    entries: BTreeMap<EntryName, EntryInfo>,
     ranges: BTreeMap<RangeIndex, RangeLease>,
     /// Ranges that have had a steward at any time.
     used_ranges: BTreeSet<RangeIndex>,
@@ -140,12 +133,12 @@
 
     /// Returns all entries.
     pub fn entries(&self) -> impl Iterator<Item = &EntryInfo> {
-        self.entries.values().map(|record| &record.info)
+        self.entries.values()
     }
 
     /// Returns an entry by name.
     pub fn entry(&self, name: &EntryName) -> Option<&EntryInfo> {
-        self.entries.get(name).map(|record| &record.info)
+        self.entries.get(name)
     }
 
     /// Returns the lease of a range.
@@ -176,7 +169,7 @@
                 self.drains.insert(domain.clone(), (*drained, *version));
             }
             ViewChange::PutEntry(info) => {
-                self.entries.insert(info.name.clone(), EntryRecord { info: info.clone() });
+                self.entries.insert(info.name.clone(), info.clone());
             }
             ViewChange::RemoveEntry(name) => {
                 self.entries.remove(name);
