Guide and wait truthfully while no entry is registered yet

Ruled out: the decision and the entries' opening (40 ms apart). It came up once operators read the leader's view, as `apply` no longer had to wait for an entry. Now `--wait` waits for at least one entry, and the guide answers 503 with Retry-After while none serves.

--- a/crates/caller/src/intake.rs
+++ b/crates/caller/src/intake.rs
@@ -121,6 +121,11 @@
     };
     counters.count("guide-answered");
     let guide = handler.guide(&service);
+    if guide.entries.is_empty() {
+        let mut response = refuse(StatusCode::SERVICE_UNAVAILABLE, "no entry serves yet");
+        insert(response.headers_mut(), "retry-after", "1");
+        return response;
+    }
     let max_age = format!("max-age={}", guide.max_age_s);
     let body = serde_json::to_vec(&guide).unwrap_or_default();
     let mut response = Response::new(Full::new(Bytes::from(body)));
--- a/crates/ctl/src/change.rs
+++ b/crates/ctl/src/change.rs
@@ -117,7 +117,8 @@
             let target = *target.get_or_insert(replica.view);
             let all = replica.entries.len();
             let done = replica.entries.iter().filter(|e| e.view >= Some(target)).count();
-            if done == all {
+            // Entries of a system that has just started may not be registered yet.
+            if all > 0 && done == all {
                 let elapsed = started.elapsed().as_millis();
                 eprintln!("in force at all {all} entries after {elapsed} ms");
                 return Ok(());
--- a/examples/quickstart.sh
+++ b/examples/quickstart.sh
@@ -119,6 +119,7 @@
   curl -sf "http://$(caller 1)/v1/entries/$1" |
     python3 -c 'import json, sys; print(json.load(sys.stdin)["entries"][0]["address"])'
 }
+retry 10 entry_for zaloga
 ENTRY=$(entry_for zaloga)
 echo "guide names $ENTRY"
 lookup() { curl -sf "http://$ENTRY/v1/call/zaloga/stock?cylinder=argon"; }
