Add routing documents, a replicated registry, plain TCP links, and a crate that follows the replicas

The platform's callers need routes with one global version, servers that register with the replicas, and links without key material. Following the replicas (leader, freshness) moves out of the entry so that other parts can use it; crates/platform is now crates/runtime.

--- a/crates/caller/src/intake.rs
+++ b/crates/caller/src/intake.rs
@@ -7,7 +7,7 @@
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
-use platform::DecisionCounters;
+use runtime::DecisionCounters;
 use std::{net::SocketAddr, time::Duration};
 use tokio::time::timeout;
 use types::{CallAnswer, CallOutcome, CallRequest, HeaderField, ServiceName, header};
--- a/crates/caller/src/listener.rs
+++ b/crates/caller/src/listener.rs
@@ -6,7 +6,7 @@
     rt::{TokioIo, TokioTimer},
     server::graceful::GracefulShutdown,
 };
-use platform::DecisionCounters;
+use runtime::DecisionCounters;
 use std::{convert::Infallible, io, net::SocketAddr, sync::Arc, time::Duration};
 use thiserror::Error;
 use tokio::{net::TcpListener, sync::Notify, time::timeout};
--- a/crates/ctl/src/show.rs
+++ b/crates/ctl/src/show.rs
@@ -2,8 +2,8 @@
 
 use crate::{arguments::TimelineArguments, error::CtlError, session::Session};
 use operator::{OperatorEndpoint, StatusPage, ViewPage};
-use platform::{EventRecord, TimelineFilter, wall_clock_ms};
 use replica_rows::replica_rows;
+use runtime::{EventRecord, TimelineFilter, wall_clock_ms};
 use serde::Serialize;
 
 mod replica_rows;
--- a/crates/ctl/tests/cli.rs
+++ b/crates/ctl/tests/cli.rs
@@ -2,7 +2,7 @@
 
 use hawthornhill::DaemonProcess;
 use peer::KeyForge;
-use platform::{ProcessRole, ProcessSettings, ReplicaAddress};
+use runtime::{ProcessRole, ProcessSettings, ReplicaAddress};
 use std::{
     path::{Path, PathBuf},
     process::Command,
--- a/crates/daemon/src/backend.rs
+++ b/crates/daemon/src/backend.rs
@@ -3,11 +3,11 @@
 use crate::handler::RoleHandler;
 use async_trait::async_trait;
 use consensus::{Member, MembershipChange};
-use entry::{LeaderFinder, SubmitResult};
+use follow::{LeaderFinder, SubmitResult};
 use operator::{BackendError, EntryPage, OperatorBackend, ServerRow, StatusPage, ViewPage};
 use peer::PeerNode;
-use platform::{EventRecord, EventTimeline, TimelineFilter};
 use policy::ServerView;
+use runtime::{EventRecord, EventTimeline, TimelineFilter};
 use std::{
     net::SocketAddr,
     sync::Arc,
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -3,7 +3,7 @@
 use anyhow::{Context, Result};
 use clap::{Parser, Subcommand};
 use hawthornhill::{DaemonProcess, SETTINGS_PAGE};
-use platform::ProcessSettings;
+use runtime::ProcessSettings;
 use std::{path::PathBuf, process::ExitCode};
 use tokio::signal::unix::{SignalKind, signal};
 
--- a/crates/daemon/src/metrics_page.rs
+++ b/crates/daemon/src/metrics_page.rs
@@ -4,7 +4,7 @@
 use http_body_util::Full;
 use hyper::{server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use platform::MetricsRegistry;
+use runtime::MetricsRegistry;
 use std::{convert::Infallible, time::Duration};
 use tokio::net::TcpListener;
 
--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -4,15 +4,16 @@
 use anyhow::{Context, Result};
 use caller::IntakeSettings;
 use consensus::{CoreSettings, ReplicaId};
-use entry::{EntryContext, EntryNode, EntrySettings, LeaderFinder};
+use entry::{EntryContext, EntryNode, EntrySettings};
+use follow::LeaderFinder;
 use operator::serve_operators;
 use peer::{PeerLink, PeerNode, PeerTarget, TlsMaterial};
-use platform::{
-    EventTimeline, Logger, MetricsRegistry, ProcessRole, ProcessSettings, TimerService, root_logger,
-};
 use policy::{AdmissionSettings, LatencySelector, LoadSettings};
 use rand::random;
 use replica::{FileStore, ReplicaSettings, start_replica};
+use runtime::{
+    EventTimeline, Logger, MetricsRegistry, ProcessRole, ProcessSettings, TimerService, root_logger,
+};
 use server::HttpTransport;
 use slog::info;
 use std::{sync::Arc, time::Duration};
@@ -135,6 +136,7 @@
             peer_address: self.settings.peer_address,
             operator_address: self.settings.operator_address,
             serving: true,
+            is_steward: true,
         };
         let (timeline, logger) = (self.timeline.clone(), self.logger.clone());
         let context = EntryContext::new(info, &self.metrics, timeline, logger, self.timer.clone());
--- a/crates/daemon/tests/program.rs
+++ b/crates/daemon/tests/program.rs
@@ -1,7 +1,7 @@
 //! The daemon's command line and settings file.
 
 use hawthornhill::SETTINGS_PAGE;
-use platform::ProcessSettings;
+use runtime::ProcessSettings;
 use std::process::Command;
 
 /// The program under test.
--- a/crates/entry/src/claims.rs
+++ b/crates/entry/src/claims.rs
@@ -1,7 +1,7 @@
 //! Claims of requests that may not be repeated.
 
-use crate::{LeaderFinder, leader::SubmitResult};
 use async_trait::async_trait;
+use follow::{LeaderFinder, SubmitResult};
 use std::{
     sync::Arc,
     time::{Duration, Instant},
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -1,11 +1,11 @@
 //! What all parts of an entry share.
 
 use parking_lot::{Mutex, RwLock};
-use platform::{
-    DecisionCounters, EventKind, EventTags, EventTimeline, Logger, MetricsRegistry, TimerService,
-};
 use policy::FreshnessGate;
 use rand::{SeedableRng, rngs::SmallRng};
+use runtime::{
+    DecisionCounters, EventKind, EventTags, EventTimeline, Logger, MetricsRegistry, TimerService,
+};
 use std::{
     sync::Arc,
     time::{Duration, Instant},
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -13,9 +13,9 @@
 use async_trait::async_trait;
 use caller::{CallHandler, GuideAnswer, GuideEntry};
 use peer::{PeerAnswer, PeerError, PeerLink, PeerRequest};
-use platform::EventKind;
 use policy::{AdmissionGate, rank_entries, retry_after};
 use rand::Rng;
+use runtime::EventKind;
 use server::ServerTransport;
 use smallvec::SmallVec;
 use std::{
--- a/crates/entry/src/lane.rs
+++ b/crates/entry/src/lane.rs
@@ -2,11 +2,11 @@
 
 use crate::EntryContext;
 use parking_lot::Mutex;
-use platform::EventKind;
 use policy::{
     LatencyTracker, LoadSettings, PickResult, PickedServer, ReleaseNotes, RetryBudget, ServerView,
     ServiceLoad, StatedLoad, TryOutcome, expected_wait,
 };
+use runtime::EventKind;
 use smallvec::SmallVec;
 use std::{
     collections::{HashMap, VecDeque},
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -1,13 +1,14 @@
 //! An entry as a whole: its parts, its tasks, and its planned stop.
 
 use crate::{
-    CallDispatcher, EntryContext, LeaderFinder, ReplicatedLedger, freshness::FreshnessKeeper,
-    prober::ServerProber, roster::ServerRoster,
+    CallDispatcher, EntryContext, ReplicatedLedger, holder::EntryViewHolder, prober::ServerProber,
+    roster::ServerRoster,
 };
 use caller::{CallerListener, IntakeError, IntakeSettings};
+use follow::{FreshnessKeeper, KeeperTools, LeaderFinder};
 use peer::{PeerAnswer, PeerLink, PeerRequest, PeerTarget};
-use platform::{EventKind, EventTags};
 use policy::{AdmissionGate, AdmissionSettings, LoadSettings, ServerView};
+use runtime::{EventKind, EventTags};
 use server::{ServerTransport, serve_announcements};
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 use thiserror::Error;
@@ -98,7 +99,14 @@
         tokio::spawn(serve_announcements(announcements, roster.clone(), counters));
         tokio::spawn(roster.clone().run());
         tokio::spawn(prober.run());
-        let keeper = FreshnessKeeper::new(context.clone(), leader, roster.clone());
+        let tools = KeeperTools {
+            counters: context.counters.freshness.clone(),
+            timeline: context.timeline.clone(),
+            logger: context.logger.clone(),
+            timer: context.timer.clone(),
+        };
+        let holder = Arc::new(EntryViewHolder::new(context.clone(), roster.clone()));
+        let keeper = FreshnessKeeper::new(holder, leader, tools);
         tokio::spawn(keeper.run());
         let stop = Arc::new(Notify::new());
         let callers = tokio::spawn(listener.serve(stop.clone(), settings.stop_grace));
--- a/crates/entry/src/once.rs
+++ b/crates/entry/src/once.rs
@@ -8,7 +8,7 @@
     lane::AcquireError,
     tries::{TryEnd, TryRunner},
 };
-use platform::EventKind;
+use runtime::EventKind;
 use smallvec::SmallVec;
 use std::{
     sync::Arc,
--- a/crates/entry/src/prober.rs
+++ b/crates/entry/src/prober.rs
@@ -7,8 +7,8 @@
 use crate::{EntryContext, roster::ServerRoster};
 use http::{HeaderMap, Method, uri::PathAndQuery};
 use parking_lot::Mutex;
-use platform::EventKind;
 use policy::ProbeBudget;
+use runtime::EventKind;
 use server::{ServerRequest, ServerTransport, StartGuard};
 use std::{
     collections::BTreeMap,
--- a/crates/entry/src/roster.rs
+++ b/crates/entry/src/roster.rs
@@ -9,11 +9,11 @@
 use async_trait::async_trait;
 use parking_lot::{Mutex, RwLock};
 use peer::{PeerAnswer, PeerLink, PeerRequest, PeerTarget};
-use platform::EventKind;
 use policy::{
     AnnounceOutcome, BEAT_LIMIT, DirectoryServer, LoadSettings, PickedServer, ServerDirectory,
     ServerView,
 };
+use runtime::EventKind;
 use server::{AnnounceAnswer, AnnounceHandler, AnnounceRefusal};
 use std::{
     collections::{BTreeSet, HashMap},
--- a/crates/entry/src/tries.rs
+++ b/crates/entry/src/tries.rs
@@ -3,8 +3,8 @@
 use crate::{EntryContext, active_call::ActiveCall, lane::ServerPermit};
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, uri::PathAndQuery};
-use platform::EventKind;
 use policy::{StatedLoad, TryOutcome};
+use runtime::EventKind;
 use server::{SendError, ServerAnswer, ServerRequest, ServerTransport, StartGuard, TransportError};
 use std::{sync::Arc, time::Instant};
 use types::{CallAnswer, CallOutcome, CallRequest, ServerName, header};
--- /dev/null
+++ b/crates/follow/src/keeper.rs
@@ -0,0 +1,139 @@
+//! Keeps the view of an entry fresh.
+//!
+//! The time at which a request was sent, not that of its answer, is what the view is fresh as of:
+//! the leader answers only after a quorum round that began after the request arrived.
+
+use crate::{LeaderAnswer, LeaderFinder};
+use peer::{FreshnessAnswer, FreshnessGrant, FreshnessRequest, PeerAnswer, PeerRequest};
+use runtime::{DecisionCounters, EventKind, EventTags, EventTimeline, Logger, TimerService};
+use slog::{info, warn};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+use types::{ClusterView, EntryInfo, ViewVersion};
+
+/// Period of freshness requests.
+const RENEW_PERIOD: Duration = Duration::from_millis(250);
+/// Time allowed for one request.
+const RENEW_TIMEOUT: Duration = Duration::from_millis(600);
+
+/// An entry that holds a view.
+pub trait ViewHolder: Send + Sync {
+    /// Returns what the entry tells the replicas about itself.
+    fn info(&self) -> EntryInfo;
+    /// Returns the view that it holds.
+    fn view(&self) -> Arc<ClusterView>;
+    /// Takes over a newer view.
+    fn install(&self, view: Arc<ClusterView>);
+    /// Notes that the view was confirmed by a request sent at this time.
+    fn confirm(&self, sent: Instant);
+    /// Says whether the view was confirmed lately enough for new work.
+    fn is_open(&self) -> bool;
+}
+
+/// What a keeper uses of its process.
+#[derive(Clone)]
+pub struct KeeperTools {
+    /// Counters of confirmations.
+    pub counters: DecisionCounters,
+    /// Time line.
+    pub timeline: EventTimeline,
+    /// Log.
+    pub logger: Logger,
+    /// Timer service.
+    pub timer: TimerService,
+}
+
+/// Renews the freshness of the view until the process ends.
+pub struct FreshnessKeeper {
+    holder: Arc<dyn ViewHolder>,
+    leader: Arc<LeaderFinder>,
+    tools: KeeperTools,
+    was_open: bool,
+}
+
+impl FreshnessKeeper {
+    /// Returns a keeper of the holder's view.
+    pub fn new(holder: Arc<dyn ViewHolder>, leader: Arc<LeaderFinder>, tools: KeeperTools) -> Self {
+        Self { holder, leader, tools, was_open: false }
+    }
+
+    /// Asks the leader periodically until the timer service ends.
+    pub async fn run(mut self) {
+        let mut ticks = self.tools.timer.subscribe(RENEW_PERIOD);
+        loop {
+            self.renew().await;
+            self.note_gate();
+            if ticks.tick().await.is_none() {
+                return;
+            }
+        }
+    }
+
+    async fn renew(&mut self) {
+        let sent = Instant::now();
+        let version = self.holder.view().version;
+        let request = FreshnessRequest { entry: Some(self.holder.info()), version };
+        let request = PeerRequest::Freshness(request);
+        let answer = self.leader.ask(&request, RENEW_TIMEOUT, is_granted).await;
+        match answer {
+            Some(PeerAnswer::Freshness(answer)) => {
+                if let FreshnessAnswer::Granted(grant) = *answer {
+                    self.take_grant(grant, version, sent);
+                }
+            }
+            _ => self.tools.counters.count("not-confirmed"),
+        }
+    }
+
+    fn take_grant(&self, grant: FreshnessGrant, asked: ViewVersion, sent: Instant) {
+        self.leader.learn(&grant.replicas);
+        let current = self.holder.view();
+        debug_assert_eq!(current.version, asked, "only this task changes the view");
+        if !grant.update.is_empty() {
+            let mut view = (*current).clone();
+            view.update(grant.update);
+            let detail = format!("view {}", view.version.0);
+            info!(self.tools.logger, "view changed"; "version" => view.version.0,
+                "from" => current.version.0, "routing" => view.routing_version().0,
+                "servers" => view.servers().count(), "entries" => view.entries().count());
+            // The holder must know of drains before the gate is confirmed for this view.
+            self.holder.install(Arc::new(view));
+            let tags = EventTags::default();
+            self.tools.timeline.record(EventKind::ChangeInForce, tags, detail);
+        }
+        self.holder.confirm(sent);
+        self.tools.counters.count("confirmed");
+    }
+
+    fn note_gate(&mut self) {
+        let is_open = self.holder.is_open();
+        if is_open == self.was_open {
+            return;
+        }
+        self.was_open = is_open;
+        let tags = EventTags::default();
+        let version = self.holder.view().version.0;
+        if is_open {
+            info!(self.tools.logger, "replicas in touch: the view is confirmed";
+                "version" => version);
+            self.tools.timeline.record(EventKind::EntryOpened, tags, String::new());
+        } else {
+            warn!(self.tools.logger, "replicas lost: the view cannot be confirmed";
+                "version" => version);
+            self.tools.timeline.record(EventKind::EntryClosed, tags, String::new());
+        }
+    }
+}
+
+/// Says whether the answer to a freshness request comes from the leader.
+pub(crate) fn is_granted(answer: &PeerAnswer) -> LeaderAnswer {
+    match answer {
+        PeerAnswer::Freshness(answer) => match answer.as_ref() {
+            FreshnessAnswer::Granted(_) => LeaderAnswer::Here,
+            FreshnessAnswer::NotLeader(hint) => LeaderAnswer::Elsewhere(*hint),
+        },
+        _ => LeaderAnswer::Elsewhere(None),
+    }
+}
--- a/crates/entry/src/leader.rs
+++ b/crates/follow/src/leader.rs
@@ -1,6 +1,6 @@
 //! Finds the leader of the replicas and follows it as it changes.
 
-use crate::freshness::is_granted;
+use crate::keeper::is_granted;
 use consensus::MembershipChange;
 use futures_util::{StreamExt, stream::FuturesUnordered};
 use parking_lot::Mutex;
@@ -8,7 +8,7 @@
     FreshnessAnswer, FreshnessRequest, PeerAnswer, PeerError, PeerLink, PeerRequest, PeerTarget,
     SubmitAnswer,
 };
-use platform::ReplicaAddress;
+use runtime::ReplicaAddress;
 use std::{
     net::SocketAddr,
     sync::Arc,
@@ -23,10 +23,20 @@
 
 #[derive(Debug)]
 struct ReplicaTargets {
+    seeds: Vec<PeerTarget>,
     known: Vec<PeerTarget>,
     leader: Option<PeerTarget>,
 }
 
+impl ReplicaTargets {
+    /// Returns the learned replicas, and the seeds at other addresses.
+    fn all(&self) -> Vec<PeerTarget> {
+        let is_new = |seed: &&PeerTarget| self.known.iter().all(|t| t.address != seed.address);
+        let seeds = self.seeds.iter().filter(is_new);
+        self.known.iter().chain(seeds).cloned().collect()
+    }
+}
+
 /// What became of a command by its deadline.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum SubmitResult {
@@ -47,7 +57,8 @@
 impl LeaderFinder {
     /// Starts with the replicas of the settings.
     pub fn new(link: Arc<dyn PeerLink>, known: Vec<PeerTarget>) -> Self {
-        Self { link, targets: Mutex::new(ReplicaTargets { known, leader: None }) }
+        let targets = ReplicaTargets { seeds: known.clone(), known, leader: None };
+        Self { link, targets: Mutex::new(targets) }
     }
 
     /// Takes over the replicas that a leader names.
@@ -62,6 +73,11 @@
         self.targets.lock().known = known;
     }
 
+    /// Replaces the replicas that are asked when those that were learned do not answer.
+    pub fn set_seeds(&self, seeds: Vec<PeerTarget>) {
+        self.targets.lock().seeds = seeds;
+    }
+
     /// Asks the leader, or all replicas at once while it is unknown. `accept` says whether an
     /// answer comes from the leader; other answers only point to it.
     pub async fn ask(
@@ -76,7 +92,7 @@
                 return Some(answer);
             }
         }
-        let targets = self.targets.lock().known.clone();
+        let targets = self.targets.lock().all();
         let mut asked: FuturesUnordered<_> = targets
             .into_iter()
             .map(|target| async move {
--- /dev/null
+++ b/crates/follow/src/lib.rs
@@ -0,0 +1,7 @@
+//! Following the replicas: finding their leader, and keeping a view fresh.
+
+mod keeper;
+mod leader;
+
+pub use keeper::{FreshnessKeeper, KeeperTools, ViewHolder};
+pub use leader::{LeaderAnswer, LeaderFinder, SubmitResult};
--- a/crates/operator/src/backend.rs
+++ b/crates/operator/src/backend.rs
@@ -3,7 +3,7 @@
 use crate::{StatusPage, ViewPage};
 use async_trait::async_trait;
 use consensus::{Member, MembershipChange};
-use platform::{EventRecord, TimelineFilter};
+use runtime::{EventRecord, TimelineFilter};
 use thiserror::Error;
 use types::{ChangeAnswer, ChangeRequest};
 
--- a/crates/operator/src/routes.rs
+++ b/crates/operator/src/routes.rs
@@ -7,7 +7,7 @@
     service::TowerToHyperService,
 };
 use peer::{KeyError, TlsMaterial, operator_server_config};
-use platform::{DecisionCounters, TimelineFilter};
+use runtime::{DecisionCounters, TimelineFilter};
 use serde::{Serialize, de::DeserializeOwned};
 use std::{convert::Infallible, io, net::SocketAddr, sync::Arc, time::Duration};
 use thiserror::Error;
--- a/crates/peer/src/frame.rs
+++ b/crates/peer/src/frame.rs
@@ -1,7 +1,7 @@
 //! Frames: a message with the sender's hybrid time, in postcard's binary form.
 
 use crate::PeerError;
-use platform::HybridTime;
+use runtime::HybridTime;
 use serde::{Serialize, de::DeserializeOwned};
 
 /// The greatest size of a frame in bytes.
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -9,6 +9,7 @@
 mod link;
 mod message;
 mod node;
+mod stream_node;
 mod tls;
 
 pub use error::PeerError;
@@ -20,4 +21,5 @@
     SubmitAnswer,
 };
 pub use node::{LinkTraffic, PeerNode};
+pub use stream_node::StreamNode;
 pub use tls::{TlsMaterial, operator_client_config, operator_server_config};
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -1,12 +1,13 @@
 //! Messages between processes.
 
 use consensus::{Envelope, MembershipChange};
-use platform::ReplicaAddress;
+use runtime::ReplicaAddress;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use types::{
     Announcement, BookDelta, BookRequest, CallAnswer, CallRequest, Command, CommandAnswer,
-    EntryInfo, HostName, StewardBeat, SuspectReport, ViewUpdate, ViewVersion,
+    EntryInfo, HostName, ServerIncarnation, ServerName, StewardBeat, SuspectReport, ViewUpdate,
+    ViewVersion,
 };
 
 /// A request, or a message without answer.
@@ -30,6 +31,8 @@
     Suspect(SuspectReport),
     /// Hands a request over to another entry.
     HandOver(CallRequest),
+    /// Tells the leader which servers were heard of; has no answer.
+    ServersSeen(Vec<(ServerName, ServerIncarnation)>),
 }
 
 /// A message between replicas, with where its sender can be answered.
--- a/crates/peer/src/node.rs
+++ b/crates/peer/src/node.rs
@@ -10,13 +10,13 @@
 };
 use async_trait::async_trait;
 use parking_lot::Mutex;
-use platform::{DecisionCounters, EventTimeline};
 use quinn::{
     ClientConfig, Connection, Endpoint, Incoming, RecvStream, SendStream, ServerConfig,
     TransportConfig, VarInt,
     crypto::rustls::{QuicClientConfig, QuicServerConfig},
     rustls::pki_types::CertificateDer,
 };
+use runtime::{DecisionCounters, EventTimeline};
 use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
 use tokio::{sync::mpsc, time::timeout};
 use types::HostName;
--- a/crates/peer/tests/messages.rs
+++ b/crates/peer/tests/messages.rs
@@ -4,8 +4,8 @@
     FreshnessAnswer, FreshnessGrant, PeerAnswer, PeerError, PeerRequest, SubmitAnswer,
     decode_frame, encode_frame,
 };
-use platform::{HybridTime, ReplicaAddress};
 use proptest::prelude::*;
+use runtime::{HybridTime, ReplicaAddress};
 use types::{
     Announcement, BookVersion, CallAnswer, CallOutcome, CallRequest, ChangeAction, ChangeAnswer,
     ChangeId, ChangeRequest, ClaimAnswer, ClusterView, Command, CommandAnswer, DocumentVersion,
--- a/crates/peer/tests/tls.rs
+++ b/crates/peer/tests/tls.rs
@@ -5,7 +5,7 @@
     KeyForge, PeerAnswer, PeerError, PeerHandler, PeerLink, PeerNode, PeerRequest, PeerTarget,
     TlsMaterial,
 };
-use platform::{DecisionCounters, EventTimeline, MetricsRegistry};
+use runtime::{DecisionCounters, EventTimeline, MetricsRegistry};
 use std::{net::SocketAddr, path::Path, sync::Arc, time::Duration};
 use tempfile::tempdir;
 use types::{Command, HostName};
--- a/crates/policy/tests/servers.rs
+++ b/crates/policy/tests/servers.rs
@@ -115,6 +115,7 @@
             peer_address: address,
             operator_address: address,
             serving: true,
+            is_steward: true,
         };
         state.apply(LogTime(0), &Command::PutEntry(info));
         state.apply(LogTime(0), &Command::BalanceRanges);
--- a/crates/replica/src/driver.rs
+++ b/crates/replica/src/driver.rs
@@ -9,6 +9,7 @@
 use crate::{
     ReplicaHandle, ReplicaStatus,
     entry_watch::EntryWatch,
+    server_watch::ServerWatch,
     store::{LogBatch, ReplicaStore, StoreError},
 };
 use consensus::{
@@ -20,7 +21,7 @@
     ConsensusMessage, FreshnessAnswer, FreshnessRequest, PeerLink, PeerRequest, PeerTarget,
     SubmitAnswer,
 };
-use platform::{
+use runtime::{
     DecisionCounters, EventKind, EventTags, EventTimeline, Logger, TimerService, wall_clock_ms,
 };
 use slog::{error, info, warn};
@@ -35,7 +36,10 @@
     runtime::Handle,
     sync::{mpsc, oneshot},
 };
-use types::{ChangeAction, ClusterState, Command, CommandAnswer, HostName, LogTime};
+use types::{
+    ChangeAction, ClusterState, Command, CommandAnswer, HostName, LogTime, ServerIncarnation,
+    ServerName,
+};
 
 /// Inputs that may wait for the thread.
 const QUEUE_LIMIT: usize = 16_384;
@@ -74,6 +78,7 @@
     Submit(Command, oneshot::Sender<SubmitAnswer>),
     ChangeMembership(MembershipChange, oneshot::Sender<SubmitAnswer>),
     Freshness(FreshnessRequest, oneshot::Sender<FreshnessAnswer>),
+    ServersSeen(Vec<(ServerName, ServerIncarnation)>),
     Bootstrap(Vec<Member>, oneshot::Sender<Result<(), String>>),
     Status(oneshot::Sender<ReplicaStatus>),
     Stop(oneshot::Sender<()>),
@@ -101,6 +106,7 @@
     ready_reads: Vec<ReadyRead>,
     next_token: u64,
     watch: EntryWatch,
+    server_watch: ServerWatch,
     was_leader: bool,
     /// A tick has come since the last quorum round; one round serves all reads of a tick.
     round_is_due: bool,
@@ -160,6 +166,7 @@
             ready_reads: Vec::new(),
             next_token: 0,
             watch: EntryWatch::new(Instant::now()),
+            server_watch: ServerWatch::new(Instant::now()),
             was_leader: false,
             round_is_due: false,
             snapshot_bytes,
@@ -198,6 +205,9 @@
                 self.change_membership(&change, reply);
             }
             ReplicaInput::Freshness(request, reply) => self.start_freshness(request, reply),
+            ReplicaInput::ServersSeen(servers) => {
+                self.server_watch.observe(servers, Instant::now());
+            }
             ReplicaInput::Bootstrap(members, reply) => answer(reply, self.bootstrap(members)),
             ReplicaInput::Status(reply) => answer(reply, self.status()),
             ReplicaInput::Stop(reply) => self.begin_stop(reply),
@@ -208,7 +218,7 @@
     fn refuse_input(&mut self, input: ReplicaInput) {
         let reason = "the disk of this replica refuses writes".to_owned();
         match input {
-            ReplicaInput::Tick(_) | ReplicaInput::Message(_) => {}
+            ReplicaInput::Tick(_) | ReplicaInput::Message(_) | ReplicaInput::ServersSeen(_) => {}
             ReplicaInput::Submit(_, reply) | ReplicaInput::ChangeMembership(_, reply) => {
                 self.settings.counters.count("refused-disk");
                 answer(reply, SubmitAnswer::Refused(reason));
@@ -224,7 +234,9 @@
         self.core.tick();
         self.round_is_due = true;
         if self.core.is_leader() && self.was_leader {
-            for command in self.watch.expirations(self.state.view(), now) {
+            let mut commands = self.watch.expirations(self.state.view(), now);
+            commands.extend(self.server_watch.expirations(self.state.view(), now));
+            for command in commands {
                 self.propose_own(command);
             }
         }
@@ -448,6 +460,7 @@
         let term = self.core.term().0;
         if is_leader {
             self.watch = EntryWatch::new(Instant::now());
+            self.server_watch = ServerWatch::new(Instant::now());
             self.settings.counters.count("leader-elected");
             info!(self.settings.logger, "leading"; "term" => term);
             self.record(EventKind::LeaderElected, EventTags::default(), format!("term {term}"));
--- a/crates/replica/src/driver/reads.rs
+++ b/crates/replica/src/driver/reads.rs
@@ -4,7 +4,7 @@
 use crate::entry_watch::EntryWatch;
 use consensus::ReadToken;
 use peer::{FreshnessAnswer, FreshnessGrant, FreshnessRequest};
-use platform::ReplicaAddress;
+use runtime::ReplicaAddress;
 use std::time::Instant;
 use tokio::sync::oneshot;
 
--- a/crates/replica/src/handle.rs
+++ b/crates/replica/src/handle.rs
@@ -71,6 +71,11 @@
                 let _ = self.inputs.send(ReplicaInput::Message(message)).await;
                 Some(PeerAnswer::Done)
             }
+            PeerRequest::ServersSeen(servers) => {
+                // What a stopped replica loses is reported again to its successor.
+                let _ = self.inputs.send(ReplicaInput::ServersSeen(servers)).await;
+                Some(PeerAnswer::Done)
+            }
             PeerRequest::Freshness(request) => {
                 let entry = request.entry.as_ref();
                 if entry.is_some_and(|entry| entry.name.as_str() != host.as_str()) {
@@ -107,9 +112,10 @@
         Command::Claim(claim) if claim.entry.as_str() != host.as_str() => {
             Err("claim for another entry")
         }
-        Command::PutEntry(_) | Command::RemoveEntry(..) | Command::BalanceRanges => {
-            Err("only the leader gives this command")
-        }
+        Command::PutEntry(_)
+        | Command::RemoveEntry(..)
+        | Command::BalanceRanges
+        | Command::Expire(..) => Err("only the leader gives this command"),
         _ => Ok(()),
     }
 }
--- a/crates/replica/src/lib.rs
+++ b/crates/replica/src/lib.rs
@@ -4,6 +4,7 @@
 mod driver;
 mod entry_watch;
 mod handle;
+mod server_watch;
 mod status;
 mod store;
 
--- a/crates/replica/tests/driver.rs
+++ b/crates/replica/tests/driver.rs
@@ -6,7 +6,7 @@
     FileStore, LogBatch, ReplicaHandle, ReplicaSettings, ReplicaStore, StoreError, start_replica,
 };
 use peer::{FreshnessAnswer, FreshnessRequest, PeerAnswer, PeerHandler, PeerRequest, SubmitAnswer};
-use platform::{EventTimeline, LogFormat, MetricsRegistry, TimerService, root_logger};
+use runtime::{EventTimeline, LogFormat, MetricsRegistry, TimerService, root_logger};
 use std::{
     io,
     net::SocketAddr,
@@ -150,6 +150,7 @@
         peer_address: address(1),
         operator_address: address(1),
         serving: true,
+        is_steward: true,
     };
     FreshnessRequest { entry: Some(entry), version: ViewVersion(0) }
 }
--- a/crates/platform/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -1,4 +1,4 @@
-//! What a process needs from its platform: settings, clock and timers, logs, metrics, and the time
+//! What a process runs on: settings, clock and timers, logs, metrics, and the time
 //! line of events.
 
 mod logging;
--- a/crates/platform/tests/platform.rs
+++ b/crates/runtime/tests/runtime.rs
@@ -1,7 +1,7 @@
 //! Settings, timers, the time line and the metrics page.
 
 use expect_test::expect;
-use hawthornhill_platform::{
+use hawthornhill_runtime::{
     EventKind, EventTags, EventTimeline, HybridTime, MetricsRegistry, ProcessSettings,
     TimelineFilter, TimerService, wall_clock_ms,
 };
--- a/crates/server/src/announce.rs
+++ b/crates/server/src/announce.rs
@@ -6,7 +6,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use platform::DecisionCounters;
+use runtime::DecisionCounters;
 use serde::{Deserialize, Serialize};
 use std::{convert::Infallible, net::SocketAddr, sync::Arc, time::Duration};
 use thiserror::Error;
--- a/crates/testkit/examples/bench_replicas.rs
+++ b/crates/testkit/examples/bench_replicas.rs
@@ -6,8 +6,8 @@
 use consensus::{CoreSettings, Member, MemberRole, ReplicaId};
 use hawthornhill_testkit::{MemoryNet, System, latency_histogram, pause};
 use peer::{PeerAnswer, PeerHandler, PeerRequest, SubmitAnswer};
-use platform::{EventTimeline, MetricsRegistry, TimerService};
 use replica::{FileStore, ReplicaHandle, ReplicaSettings, start_replica};
+use runtime::{EventTimeline, MetricsRegistry, TimerService};
 use std::{
     net::SocketAddr,
     path::Path,
--- a/crates/types/src/entry_info.rs
+++ b/crates/types/src/entry_info.rs
@@ -27,4 +27,6 @@
     pub operator_address: SocketAddr,
     /// False once the entry has begun a planned stop.
     pub serving: bool,
+    /// The entry looks after a share of the servers that announce themselves to entries.
+    pub is_steward: bool,
 }
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -11,6 +11,7 @@
 mod names;
 mod outcome;
 mod roster;
+mod routing;
 mod server_info;
 mod state;
 mod view;
@@ -31,8 +32,14 @@
     BookChange, BookDelta, BookRequest, BookVersion, ServerRecord, ServerStage, StewardBeat,
     StewardId, SuspectKind, SuspectReport,
 };
+pub use routing::{
+    CallerLimits, PoolSpec, RoutePart, RouteSpec, RouteTable, RoutingDocument, RoutingError,
+    RoutingVersion,
+};
 pub use server_info::{Announcement, AnnouncementError, ServerIncarnation, ServerState};
-pub use state::{ClusterState, Command, CommandAnswer, StateViolation};
+pub use state::{
+    AnnounceDecision, ClusterState, Command, CommandAnswer, RoutingDecision, StateViolation,
+};
 pub use view::{
     ClusterView, RANGE_COUNT, RangeIndex, RangeLease, VIEW_LOG_LIMIT, ViewChange, ViewError,
     ViewUpdate, ViewVersion, server_range,
--- a/crates/types/src/state.rs
+++ b/crates/types/src/state.rs
@@ -3,19 +3,26 @@
 //! Applying is deterministic. Time enters only through the log, so that all replicas forget alike.
 
 use crate::{
-    AttemptId, CLAIM_FORGET_AFTER_MS, CLAIM_RETENTION_MS, CLOCK_SKEW_LIMIT_MS, ChangeAction,
-    ChangeAnswer, ChangeDigest, ChangeId, ChangeRequest, ClaimAnswer, ClaimKey, ClaimRelease,
-    ClaimRequest, ClaimResult, ClusterView, DocumentVersion, EntryIncarnation, EntryInfo,
-    EntryName, LogTime, RefusalKind, TeamDocument, VIEW_LOG_LIMIT, ViewChange, ViewError,
-    ViewUpdate, ViewVersion,
+    Announcement, AttemptId, CLAIM_FORGET_AFTER_MS, CLAIM_RETENTION_MS, CLOCK_SKEW_LIMIT_MS,
+    ChangeAction, ChangeAnswer, ChangeDigest, ChangeId, ChangeRequest, ClaimAnswer, ClaimKey,
+    ClaimRelease, ClaimRequest, ClaimResult, ClusterView, DocumentVersion, DomainName,
+    EntryIncarnation, EntryInfo, EntryName, LogTime, RefusalKind, RoutingDocument, RoutingVersion,
+    ServerIncarnation, ServerName, ServerState, TeamDocument, VIEW_LOG_LIMIT, ViewChange,
+    ViewError, ViewUpdate, ViewVersion,
 };
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::{
+    collections::{BTreeMap, BTreeSet, VecDeque},
+    sync::Arc,
+};
 use thiserror::Error;
 
 /// How many decided changes are remembered for resends.
 const CHANGE_MEMORY: usize = 20_000;
+/// How many servers that left are remembered, so that a delayed announcement does not register
+/// them again.
+const DEPARTURE_MEMORY: usize = 20_000;
 
 /// A command in the replicated log.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -34,6 +41,38 @@
     RemoveEntry(EntryName, EntryIncarnation),
     /// Spreads the ranges over the entries.
     BalanceRanges,
+    /// Puts a routing document in force if its version is the highest so far.
+    PutRouting(Arc<RoutingDocument>),
+    /// Takes a failure domain out of service (`true`) or brings it back; the last one decides.
+    SetDrain(DomainName, bool),
+    /// Registers a server or changes its state.
+    Announce(Arc<Announcement>),
+    /// Removes a server that says that it is gone.
+    Depart(ServerName),
+    /// Removes a server that was silent for too long, unless it has been started again since.
+    Expire(ServerName, ServerIncarnation),
+}
+
+/// How a routing document was decided.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum RoutingDecision {
+    /// It is in force, now or since an earlier copy of it.
+    InForce,
+    /// A higher version is in force, so that it changes nothing.
+    Superseded(RoutingVersion),
+    /// Another document is in force under its version.
+    OtherContent,
+}
+
+/// How an announcement was decided.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum AnnounceDecision {
+    /// The registry holds what it says.
+    Registered,
+    /// It is older than what the registry holds and changes nothing.
+    Stale,
+    /// It contradicts what the server said before in the same incarnation.
+    Contradicts,
 }
 
 /// The answer to a command.
@@ -43,6 +82,10 @@
     Change(ChangeAnswer),
     /// For a claim.
     Claim(ClaimAnswer),
+    /// For a routing document.
+    Routing(RoutingDecision),
+    /// For an announcement.
+    Announce(AnnounceDecision),
     /// For all others.
     Done,
 }
@@ -88,6 +131,8 @@
     decided_order: VecDeque<ChangeId>,
     claims: BTreeMap<ClaimKey, ClaimRecord>,
     expiry: BTreeSet<(u64, ClaimKey)>,
+    departed: BTreeMap<ServerName, ServerIncarnation>,
+    departed_order: VecDeque<ServerName>,
 }
 
 impl ClusterState {
@@ -130,6 +175,11 @@
             Command::PutEntry(info) => self.put_entry(info),
             Command::RemoveEntry(name, incarnation) => self.remove_entry(name, *incarnation),
             Command::BalanceRanges => self.balance_ranges(),
+            Command::PutRouting(document) => CommandAnswer::Routing(self.put_routing(document)),
+            Command::SetDrain(domain, is_drained) => self.set_drain(domain, *is_drained),
+            Command::Announce(server) => CommandAnswer::Announce(self.announce(server)),
+            Command::Depart(server) => self.depart(server),
+            Command::Expire(server, incarnation) => self.expire(server, *incarnation),
         }
     }
 
@@ -288,6 +338,82 @@
         }
     }
 
+    fn put_routing(&mut self, document: &Arc<RoutingDocument>) -> RoutingDecision {
+        let current = self.view.routing();
+        let version = self.view.routing_version();
+        match current {
+            Some(held) if held.version == document.version => {
+                if held == document {
+                    RoutingDecision::InForce
+                } else {
+                    RoutingDecision::OtherContent
+                }
+            }
+            Some(held) if held.version > document.version => RoutingDecision::Superseded(version),
+            _ => {
+                self.change_view(ViewChange::PutRouting(document.clone()));
+                RoutingDecision::InForce
+            }
+        }
+    }
+
+    fn set_drain(&mut self, domain: &DomainName, is_drained: bool) -> CommandAnswer {
+        if self.view.is_drained(domain) != is_drained {
+            let version = self.view.drain_version(domain).next();
+            self.change_view(ViewChange::SetDrain(domain.clone(), is_drained, version));
+        }
+        CommandAnswer::Done
+    }
+
+    fn announce(&mut self, server: &Arc<Announcement>) -> AnnounceDecision {
+        let name = &server.server;
+        if self.departed.get(name).is_some_and(|gone| *gone >= server.incarnation) {
+            return AnnounceDecision::Stale;
+        }
+        if let Some(held) = self.view.server(name) {
+            if let Some(decision) = decide_known(held, server) {
+                return decision;
+            }
+        }
+        let at_address = self.view.servers().find(|held| held.address == server.address);
+        if let Some(held) = at_address.filter(|held| held.server != *name) {
+            if held.incarnation >= server.incarnation {
+                return AnnounceDecision::Stale;
+            }
+            let (former, incarnation) = (held.server.clone(), held.incarnation);
+            self.remove_server(&former, incarnation);
+        }
+        self.change_view(ViewChange::PutServer(server.clone()));
+        AnnounceDecision::Registered
+    }
+
+    fn depart(&mut self, server: &ServerName) -> CommandAnswer {
+        if let Some(held) = self.view.server(server) {
+            let incarnation = held.incarnation;
+            self.remove_server(server, incarnation);
+        }
+        CommandAnswer::Done
+    }
+
+    fn expire(&mut self, server: &ServerName, incarnation: ServerIncarnation) -> CommandAnswer {
+        if self.view.holds_server(server, incarnation) {
+            self.change_view(ViewChange::RemoveServer(server.clone()));
+        }
+        CommandAnswer::Done
+    }
+
+    fn remove_server(&mut self, server: &ServerName, incarnation: ServerIncarnation) {
+        self.change_view(ViewChange::RemoveServer(server.clone()));
+        if self.departed.insert(server.clone(), incarnation).is_none() {
+            self.departed_order.push_back(server.clone());
+        }
+        if self.departed_order.len() > DEPARTURE_MEMORY
+            && let Some(oldest) = self.departed_order.pop_front()
+        {
+            self.departed.remove(&oldest);
+        }
+    }
+
     fn put_entry(&mut self, info: &EntryInfo) -> CommandAnswer {
         let known = self.view.entry(&info.name);
         if known != Some(info) {
@@ -312,6 +438,26 @@
     }
 }
 
+/// Decides an announcement of a server that is registered. Returns `None` if it replaces what the
+/// registry holds.
+fn decide_known(held: &Announcement, server: &Announcement) -> Option<AnnounceDecision> {
+    if server.incarnation != held.incarnation {
+        let is_older = server.incarnation < held.incarnation;
+        return is_older.then_some(AnnounceDecision::Stale);
+    }
+    let is_same = held.service == server.service
+        && held.address == server.address
+        && held.domain == server.domain;
+    if !is_same {
+        return Some(AnnounceDecision::Contradicts);
+    }
+    // A server that has begun to leave stays leaving until it starts again.
+    if held.state == server.state || held.state == ServerState::Leaving {
+        return Some(AnnounceDecision::Registered);
+    }
+    (server.sequence <= held.sequence).then_some(AnnounceDecision::Stale)
+}
+
 impl ClaimRecord {
     fn decide(&mut self, claim: &ClaimRequest) -> ClaimAnswer {
         if self.released.contains(&claim.attempt) {
--- a/crates/types/src/view.rs
+++ b/crates/types/src/view.rs
@@ -4,11 +4,15 @@
 //! changes it lacks, and only one that is far behind the whole view.
 
 use crate::{
-    DocumentVersion, DomainName, EntryInfo, EntryName, ServerName, ServiceName, ServiceSpec,
-    TeamDocument, TeamName,
+    Announcement, DocumentVersion, DomainName, EntryInfo, EntryName, RoutingDocument,
+    RoutingVersion, ServerIncarnation, ServerName, ServiceName, ServiceSpec, TeamDocument,
+    TeamName,
 };
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
 use thiserror::Error;
 
 /// The number of ranges into which servers are hashed.
@@ -50,6 +54,12 @@
     RemoveEntry(EntryName),
     /// Ranges get a new steward.
     AssignRanges(Vec<(RangeIndex, EntryName)>),
+    /// A routing document replaces the former one.
+    PutRouting(Arc<RoutingDocument>),
+    /// A server is new or has changed its state.
+    PutServer(Arc<Announcement>),
+    /// A server has left, or was silent for too long.
+    RemoveServer(ServerName),
 }
 
 /// What an entry needs to reach the current view.
@@ -61,6 +71,13 @@
     Whole(Box<ClusterView>),
 }
 
+impl ViewUpdate {
+    /// Says whether there is nothing to change.
+    pub fn is_empty(&self) -> bool {
+        matches!(self, Self::Changes(changes) if changes.is_empty())
+    }
+}
+
 /// Says how a view contradicts itself.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
 pub enum ViewError {
@@ -92,9 +109,36 @@
     ranges: BTreeMap<RangeIndex, RangeLease>,
     /// Ranges that have had a steward at any time.
     used_ranges: BTreeSet<RangeIndex>,
+    routing: Option<Arc<RoutingDocument>>,
+    servers: BTreeMap<ServerName, Arc<Announcement>>,
 }
 
 impl ClusterView {
+    /// Returns the routing document in force.
+    pub fn routing(&self) -> Option<&Arc<RoutingDocument>> {
+        self.routing.as_ref()
+    }
+
+    /// Returns the version of the routing document in force, 0 if there is none.
+    pub fn routing_version(&self) -> RoutingVersion {
+        self.routing.as_ref().map(|document| document.version).unwrap_or_default()
+    }
+
+    /// Returns all registered servers.
+    pub fn servers(&self) -> impl Iterator<Item = &Arc<Announcement>> {
+        self.servers.values()
+    }
+
+    /// Returns a registered server.
+    pub fn server(&self, name: &ServerName) -> Option<&Arc<Announcement>> {
+        self.servers.get(name)
+    }
+
+    /// Says whether a server is registered in this incarnation.
+    pub fn holds_server(&self, name: &ServerName, incarnation: ServerIncarnation) -> bool {
+        self.servers.get(name).is_some_and(|server| server.incarnation == incarnation)
+    }
+
     /// Returns the version of a team's document, 0 if there is none.
     pub fn document_version(&self, team: &TeamName) -> DocumentVersion {
         self.documents.get(team).map(|(_, version)| *version).unwrap_or_default()
@@ -183,6 +227,13 @@
                     self.ranges.insert(*range, lease);
                 }
             }
+            ViewChange::PutRouting(document) => self.routing = Some(document.clone()),
+            ViewChange::PutServer(server) => {
+                self.servers.insert(server.server.clone(), server.clone());
+            }
+            ViewChange::RemoveServer(name) => {
+                self.servers.remove(name);
+            }
         }
     }
 
@@ -197,8 +248,11 @@
     /// Returns the moves that spread all ranges evenly over the serving entries, moving as few as
     /// possible.
     pub fn plan_ranges(&self) -> Vec<(RangeIndex, EntryName)> {
-        let serving: Vec<&EntryName> =
-            self.entries().filter(|entry| entry.serving).map(|entry| &entry.name).collect();
+        let serving: Vec<&EntryName> = self
+            .entries()
+            .filter(|entry| entry.serving && entry.is_steward)
+            .map(|entry| &entry.name)
+            .collect();
         if serving.is_empty() {
             return Vec::new();
         }
