--- /dev/null
+++ b/crates/control/src/directory.rs
@@ -0,0 +1,24 @@
+//! Which entries a caller is told to use.
+
+use std::net::SocketAddr;
+use types::{ClusterView, DomainName, EntryInfo};
+
+/// The fewest entries of a caller's own failure domain that are named alone. With fewer, a caller
+/// whose only entry fails would have nowhere to go until it asks again.
+const MIN_LOCAL_ENTRIES: usize = 2;
+
+/// Returns the addresses of at most `limit` serving entries, those of the caller's failure domain
+/// alone where there are enough of them.
+pub fn directory_entries(
+    view: &ClusterView,
+    caller_domain: Option<&DomainName>,
+    limit: usize,
+) -> Vec<SocketAddr> {
+    let serving = || view.entries().filter(|entry| entry.serving);
+    let is_local = |entry: &&EntryInfo| Some(&entry.domain) == caller_domain;
+    let mut chosen: Vec<&EntryInfo> = serving().filter(is_local).collect();
+    if chosen.len() < MIN_LOCAL_ENTRIES {
+        chosen = serving().collect();
+    }
+    chosen.iter().take(limit).map(|entry| entry.caller_address).collect()
+}
--- /dev/null
+++ b/crates/control/src/plane.rs
@@ -0,0 +1,231 @@
+//! The control plane at its border, and its implementation over a replica.
+
+use crate::{ControlError, directory_entries, sightings::SightingBatch};
+use async_trait::async_trait;
+use follow::{LeaderFinder, SubmitResult};
+use peer::{PeerLink, SubmitAnswer};
+use replica::ReplicaHandle;
+use runtime::{DecisionCounters, Logger, TimerService};
+use slog::{info, warn};
+use std::{
+    collections::BTreeSet,
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+use types::{
+    AnnounceDecision, Announcement, Command, CommandAnswer, DomainName, RoutingDecision,
+    RoutingDocument, RoutingVersion, ServerName, ServerState,
+};
+
+/// Time allowed for a decision. Callers of the control plane wait a second for an answer.
+const DECISION_TIMEOUT: Duration = Duration::from_millis(900);
+
+/// What operators, servers and callers may ask of a replica.
+#[async_trait]
+pub trait ControlPlane: Send + Sync {
+    /// Registers a server or changes its state. Success of an announcement that it is leaving means
+    /// that the registry holds it.
+    async fn announce(&self, announcement: Announcement) -> Result<AnnounceDecision, ControlError>;
+
+    /// Removes a server that is gone.
+    async fn depart(&self, server: ServerName) -> Result<(), ControlError>;
+
+    /// Puts a routing document in force, unless a higher version is.
+    async fn put_routing(&self, document: RoutingDocument) -> Result<RoutingVersion, ControlError>;
+
+    /// Returns the routing document in force as of now, confirmed by a quorum.
+    async fn read_routing(&self) -> Result<Arc<RoutingDocument>, ControlError>;
+
+    /// Takes a failure domain out of service (`true`) or brings it back.
+    async fn set_drain(&self, domain: DomainName, is_drained: bool) -> Result<(), ControlError>;
+
+    /// Returns the addresses of entries for a caller in a failure domain. They may be stale.
+    fn entries_for(&self, caller_domain: Option<&DomainName>, limit: usize) -> Vec<SocketAddr>;
+}
+
+/// The control plane of a replica: decides through the leader, wherever that is.
+pub struct ReplicaControl {
+    replica: ReplicaHandle,
+    leader: Arc<LeaderFinder>,
+    sightings: Arc<SightingBatch>,
+    domains: BTreeSet<DomainName>,
+    counters: DecisionCounters,
+    logger: Logger,
+}
+
+impl ReplicaControl {
+    /// Returns the control plane over a replica, for a system in these failure domains, and starts
+    /// its reports to the leader.
+    pub fn start(
+        replica: ReplicaHandle,
+        leader: Arc<LeaderFinder>,
+        link: Arc<dyn PeerLink>,
+        domains: BTreeSet<DomainName>,
+        timer: TimerService,
+        counters: DecisionCounters,
+        logger: Logger,
+    ) -> Arc<Self> {
+        let sightings = Arc::new(SightingBatch::default());
+        tokio::spawn(sightings.clone().run(leader.clone(), link, timer));
+        Arc::new(Self { replica, leader, sightings, domains, counters, logger })
+    }
+
+    async fn submit(&self, command: Command) -> Result<CommandAnswer, ControlError> {
+        let deadline = Instant::now() + DECISION_TIMEOUT;
+        // The local replica says at once if it does not lead.
+        let local = tokio::time::timeout(DECISION_TIMEOUT, self.replica.submit(command.clone()));
+        match local.await {
+            Ok(SubmitAnswer::Applied(answer)) => return Ok(answer),
+            Ok(SubmitAnswer::Refused(reason)) => return Err(ControlError::Unavailable(reason)),
+            Ok(SubmitAnswer::NotLeader(_) | SubmitAnswer::Accepted | SubmitAnswer::Unknown) => {}
+            Err(_) => return Err(ControlError::Unavailable("the quorum is silent".to_owned())),
+        }
+        match self.leader.submit(command, deadline).await {
+            SubmitResult::Applied(answer) => Ok(answer),
+            SubmitResult::Refused(reason) => Err(ControlError::Unavailable(reason)),
+            SubmitResult::Unknown => {
+                Err(ControlError::Unavailable("no leader answered".to_owned()))
+            }
+        }
+    }
+
+    /// Refuses announcements that name what does not exist, before they reach the log.
+    fn check_names(&self, announcement: &Announcement) -> Result<(), ControlError> {
+        let invalid = ControlError::InvalidAnnouncement;
+        announcement.verify().map_err(|error| invalid(error.to_string()))?;
+        if !self.domains.is_empty() && !self.domains.contains(&announcement.domain) {
+            return Err(invalid(format!("failure domain {} is not known", announcement.domain)));
+        }
+        let view = self.replica.view();
+        if let Some(routing) = view.routing()
+            && routing.pool(&announcement.service).is_none()
+            && view.server(&announcement.server).is_some()
+        {
+            return Err(invalid(format!("service {} is not declared", announcement.service)));
+        }
+        Ok(())
+    }
+
+    fn log_announcement(&self, announcement: &Announcement, outcome: &str) {
+        info!(self.logger, "announcement"; "server" => %announcement.server,
+            "service" => %announcement.service, "address" => %announcement.address,
+            "domain" => %announcement.domain, "state" => ?announcement.state,
+            "incarnation" => announcement.incarnation.0, "sequence" => announcement.sequence,
+            "outcome" => outcome);
+    }
+}
+
+#[async_trait]
+impl ControlPlane for ReplicaControl {
+    async fn announce(&self, announcement: Announcement) -> Result<AnnounceDecision, ControlError> {
+        if let Err(error) = self.check_names(&announcement) {
+            self.counters.count("announcement-invalid");
+            self.log_announcement(&announcement, &error.to_string());
+            return Err(error);
+        }
+        self.sightings.note(&announcement);
+        let view = self.replica.view();
+        let is_known = view.server(&announcement.server).is_some_and(|held| {
+            held.incarnation == announcement.incarnation
+                && held.service == announcement.service
+                && held.address == announcement.address
+                && held.domain == announcement.domain
+                && (held.state == announcement.state || held.state == ServerState::Leaving)
+        });
+        if is_known {
+            self.counters.count("announcement-known");
+            return Ok(AnnounceDecision::Registered);
+        }
+        let command = Command::Announce(Arc::new(announcement.clone()));
+        let result = self.submit(command).await;
+        let decision = match result {
+            Ok(CommandAnswer::Announce(decision)) => decision,
+            Ok(_) => return Err(unexpected()),
+            Err(error) => {
+                self.counters.count("announcement-undecided");
+                self.log_announcement(&announcement, &error.to_string());
+                return Err(error);
+            }
+        };
+        self.counters.count("announcement-decided");
+        self.log_announcement(&announcement, &format!("{decision:?}"));
+        match decision {
+            AnnounceDecision::Contradicts => Err(ControlError::InvalidAnnouncement(format!(
+                "server {} said otherwise before in the same incarnation",
+                announcement.server
+            ))),
+            decision => Ok(decision),
+        }
+    }
+
+    async fn depart(&self, server: ServerName) -> Result<(), ControlError> {
+        let result = self.submit(Command::Depart(server.clone())).await.map(|_| ());
+        let outcome = outcome_text(&result);
+        self.counters.count("departure");
+        info!(self.logger, "departure"; "server" => %server, "outcome" => outcome);
+        result
+    }
+
+    async fn put_routing(&self, document: RoutingDocument) -> Result<RoutingVersion, ControlError> {
+        let version = document.version;
+        if let Err(error) = document.verify() {
+            self.counters.count("routing-invalid");
+            warn!(self.logger, "routing refused"; "version" => version.0, "reason" => %error);
+            return Err(error.into());
+        }
+        let routes = document.routes.len();
+        let result = self.submit(Command::PutRouting(Arc::new(document))).await;
+        let result = match result {
+            Ok(CommandAnswer::Routing(RoutingDecision::InForce)) => Ok(version),
+            Ok(CommandAnswer::Routing(RoutingDecision::Superseded(held))) => Ok(held),
+            Ok(CommandAnswer::Routing(RoutingDecision::OtherContent)) => {
+                Err(ControlError::VersionTaken(version))
+            }
+            Ok(_) => Err(unexpected()),
+            Err(error) => Err(error),
+        };
+        self.counters.count(if result.is_ok() { "routing-taken" } else { "routing-not-taken" });
+        let held = result.as_ref().map_or(0, |held| held.0);
+        let outcome = outcome_text(&result);
+        info!(self.logger, "routing"; "version" => version.0, "routes" => routes,
+            "in_force" => held, "outcome" => outcome);
+        result
+    }
+
+    async fn read_routing(&self) -> Result<Arc<RoutingDocument>, ControlError> {
+        let base = self.replica.view();
+        let view = self.leader.read_since(&base, DECISION_TIMEOUT).await;
+        let view = view
+            .ok_or_else(|| ControlError::Unavailable("no leader confirmed the read".to_owned()))?;
+        view.routing().cloned().ok_or(ControlError::NoRouting)
+    }
+
+    async fn set_drain(&self, domain: DomainName, is_drained: bool) -> Result<(), ControlError> {
+        if !self.domains.is_empty() && !self.domains.contains(&domain) {
+            return Err(ControlError::UnknownDomain(domain));
+        }
+        let command = Command::SetDrain(domain.clone(), is_drained);
+        let result = self.submit(command).await.map(|_| ());
+        let outcome = outcome_text(&result);
+        self.counters.count("drain");
+        info!(self.logger, "drain"; "domain" => %domain, "drained" => is_drained,
+            "outcome" => outcome);
+        result
+    }
+
+    fn entries_for(&self, caller_domain: Option<&DomainName>, limit: usize) -> Vec<SocketAddr> {
+        directory_entries(&self.replica.view(), caller_domain, limit)
+    }
+}
+
+fn outcome_text<T>(result: &Result<T, ControlError>) -> String {
+    match result {
+        Ok(_) => "accepted".to_owned(),
+        Err(error) => error.to_string(),
+    }
+}
+
+fn unexpected() -> ControlError {
+    ControlError::Unavailable("the leader answered another command".to_owned())
+}
--- a/crates/follow/src/leader.rs
+++ b/crates/follow/src/leader.rs
@@ -133,6 +133,22 @@
         }
     }
 
+    /// Brings a copy of `base` up to the view as of now. Returns `None` if no leader confirms it in
+    /// time.
+    pub async fn read_since(&self, base: &ClusterView, timeout: Duration) -> Option<ClusterView> {
+        let version = base.version;
+        let request = PeerRequest::Freshness(FreshnessRequest { entry: None, version });
+        let PeerAnswer::Freshness(answer) = self.ask(&request, timeout, is_granted).await? else {
+            return None;
+        };
+        let FreshnessAnswer::Granted(grant) = *answer else {
+            return None;
+        };
+        let mut view = base.clone();
+        view.update(grant.update);
+        Some(view)
+    }
+
     /// Submits a command until its fate is known or the deadline passes. The command must be one
     /// that may be decided twice without harm.
     pub async fn submit(&self, command: Command, deadline: Instant) -> SubmitResult {
