--- a/crates/follow/src/keeper.rs
+++ b/crates/follow/src/keeper.rs
@@ -132,7 +132,7 @@
     match answer {
         PeerAnswer::Freshness(answer) => match answer.as_ref() {
             FreshnessAnswer::Granted(_) => LeaderAnswer::Here,
-            FreshnessAnswer::NotLeader(hint) => LeaderAnswer::Elsewhere(*hint),
+            FreshnessAnswer::NotLeader(hint) => LeaderAnswer::Elsewhere(hint.clone()),
         },
         _ => LeaderAnswer::Elsewhere(None),
     }
--- a/crates/follow/src/leader.rs
+++ b/crates/follow/src/leader.rs
@@ -10,7 +10,6 @@
 };
 use runtime::ReplicaAddress;
 use std::{
-    net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -93,6 +92,7 @@
             }
         }
         let targets = self.targets.lock().all();
+        let asked_targets = targets.clone();
         let mut asked: FuturesUnordered<_> = targets
             .into_iter()
             .map(|target| async move {
@@ -105,7 +105,10 @@
                 return Some(answer);
             }
         }
-        None
+        // The replicas that answered may have named a leader that was not asked.
+        let hinted = self.leader().filter(|hinted| !asked_targets.contains(hinted))?;
+        let answer = self.link.call(&hinted, request.clone(), timeout).await;
+        self.judge(&hinted, answer, &accept)
     }
 
     /// Asks for a change of the set of replicas until a leader takes or refuses it.
@@ -157,7 +160,9 @@
 
     async fn submit_request(&self, request: &PeerRequest, deadline: Instant) -> SubmitResult {
         let is_from_leader = |answer: &PeerAnswer| match answer {
-            PeerAnswer::Submit(SubmitAnswer::NotLeader(hint)) => LeaderAnswer::Elsewhere(*hint),
+            PeerAnswer::Submit(SubmitAnswer::NotLeader(hint)) => {
+                LeaderAnswer::Elsewhere(hint.clone())
+            }
             PeerAnswer::Submit(SubmitAnswer::Unknown) => LeaderAnswer::Elsewhere(None),
             _ => LeaderAnswer::Here,
         };
@@ -199,8 +204,7 @@
                 Some(answer)
             }
             (Some(LeaderAnswer::Elsewhere(hint)), _) => {
-                let hinted = targets.known.iter().find(|known| Some(known.address) == hint);
-                let hinted = hinted.cloned();
+                let hinted = hint.map(|hint| PeerTarget { host: hint.host, address: hint.address });
                 if hinted.is_some() || targets.leader.as_ref() == Some(target) {
                     targets.leader = hinted;
                 }
@@ -217,10 +221,10 @@
 }
 
 /// Whether an answer comes from the leader.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub enum LeaderAnswer {
     /// It does.
     Here,
     /// It does not; the leader may be at this address.
-    Elsewhere(Option<SocketAddr>),
+    Elsewhere(Option<ReplicaAddress>),
 }
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -80,7 +80,7 @@
     /// The view, once updated, is fresh as of the time at which the request was sent.
     Granted(FreshnessGrant),
     /// The asked replica does not lead.
-    NotLeader(Option<SocketAddr>),
+    NotLeader(Option<ReplicaAddress>),
 }
 
 /// A leader's confirmation after a quorum round.
@@ -100,7 +100,7 @@
     /// The change of the set of replicas is in the log.
     Accepted,
     /// The asked replica does not lead; the command was not taken.
-    NotLeader(Option<SocketAddr>),
+    NotLeader(Option<ReplicaAddress>),
     /// The command was not taken.
     Refused(String),
     /// The command may or may not come into force.
--- a/crates/replica/src/driver.rs
+++ b/crates/replica/src/driver.rs
@@ -22,7 +22,8 @@
     SubmitAnswer,
 };
 use runtime::{
-    DecisionCounters, EventKind, EventTags, EventTimeline, Logger, TimerService, wall_clock_ms,
+    DecisionCounters, EventKind, EventTags, EventTimeline, Logger, ReplicaAddress, TimerService,
+    wall_clock_ms,
 };
 use slog::{error, info, warn};
 use snapshots::decode_state;
@@ -276,9 +277,10 @@
         }
     }
 
-    fn leader_address(&self, LeaderHint(leader): LeaderHint) -> Option<SocketAddr> {
+    fn leader_address(&self, LeaderHint(leader): LeaderHint) -> Option<ReplicaAddress> {
         let member = self.core.membership().get(leader?)?;
-        (member.id != self.settings.identity).then_some(member.address)
+        let address = ReplicaAddress { host: member.host.clone(), address: member.address };
+        (member.id != self.settings.identity).then_some(address)
     }
 
     fn begin_stop(&mut self, reply: oneshot::Sender<()>) {
