Count second attempts beside the first against the route's limit

Cause: the loop counted rounds, and a round may send two: with both servers failing, a third got the request.

--- a/crates/gateway/src/forwarder.rs
+++ b/crates/gateway/src/forwarder.rs
@@ -84,6 +84,13 @@
     trail: Mutex<CallTrail>,
 }
 
+impl ForwardedCall {
+    /// Says whether the route allows one more server, counting second attempts beside the first.
+    fn may_try_again(&self) -> bool {
+        self.trail.lock().tried.len() < usize::from(self.route.max_attempts)
+    }
+}
+
 /// Servers that were tried.
 #[derive(Default)]
 struct CallTrail {
@@ -198,13 +205,13 @@
     /// none.
     async fn run_attempts(&self, call: &ForwardedCall) -> Result<AttemptEnd, PlaceError> {
         let mut last: Option<AttemptEnd> = None;
-        for number in 0..call.route.max_attempts {
-            if number > 0 && !self.may_repeat(call, last.as_ref()) {
+        while call.may_try_again() {
+            if last.is_some() && !self.may_repeat(call, last.as_ref()) {
                 break;
             }
             let placed = self.find_server(call).await;
             let end = match (placed, last.take()) {
-                (Ok(probed), _) => self.run_hedged(call, probed, number).await,
+                (Ok(probed), _) => self.run_hedged(call, probed).await,
                 (Err(_), Some(end)) => return Ok(end),
                 (Err(error), None) => return Err(error),
             };
@@ -274,14 +281,9 @@
 
     /// Runs one attempt, and for an idempotent request a second one beside it if the first takes
     /// long. The one that loses is dropped, which cancels it at its server.
-    async fn run_hedged(
-        &self,
-        call: &ForwardedCall,
-        probed: ProbedServer,
-        number: u8,
-    ) -> AttemptEnd {
+    async fn run_hedged(&self, call: &ForwardedCall, probed: ProbedServer) -> AttemptEnd {
         let first = pin!(self.run_one(call, probed));
-        if !call.route.is_idempotent || number + 1 >= call.route.max_attempts {
+        if !call.route.is_idempotent {
             return first.await;
         }
         let hedge_at = Instant::now() + call.route.target().mul_f64(HEDGE_SHARE);
@@ -291,7 +293,8 @@
             Either::Right(((), first)) => first,
         };
         let now = Instant::now();
-        if now >= call.request.deadline || !self.take_repeat(call, now) {
+        let is_late = now >= call.request.deadline;
+        if is_late || !call.may_try_again() || !self.take_repeat(call, now) {
             return first.await;
         }
         let second = pin!(async {
