--- a/crates/consensus/src/core.rs
+++ b/crates/consensus/src/core.rs
@@ -16,6 +16,9 @@
     /// Ticks without a leader after which a follower stands; it adds a random share up to as much
     /// again. Also the time within which a leader must hear a quorum.
     pub election_ticks: u32,
+    /// The same until this replica has heard of a leader for the first time since its start. A
+    /// pre-vote keeps it from disturbing a leader that lives.
+    pub first_election_ticks: u32,
     /// The greatest number of entries in one message.
     pub max_batch: usize,
     /// Seed of the random share.
@@ -24,7 +27,13 @@
 
 impl Default for CoreSettings {
     fn default() -> Self {
-        Self { heartbeat_ticks: 2, election_ticks: 10, max_batch: 2048, seed: 0 }
+        Self {
+            heartbeat_ticks: 2,
+            election_ticks: 10,
+            first_election_ticks: 3,
+            max_batch: 2048,
+            seed: 0,
+        }
     }
 }
 
@@ -80,6 +89,7 @@
     pub(crate) handed_out: LogIndex,
     pub(crate) persisted: LogIndex,
     pub(crate) ticks_since_leader: u32,
+    pub(crate) has_heard_leader: bool,
     pub(crate) election_deadline: u32,
     pub(crate) effects: Effects,
     rng: SmallRng,
@@ -114,6 +124,7 @@
             handed_out: start,
             persisted,
             ticks_since_leader: 0,
+            has_heard_leader: false,
             election_deadline: 0,
             effects: Effects::default(),
             rng,
@@ -311,7 +322,10 @@
     }
 
     pub(crate) fn reset_election_timer(&mut self) {
-        let ticks = self.settings.election_ticks;
+        let ticks = match self.has_heard_leader {
+            true => self.settings.election_ticks,
+            false => self.settings.first_election_ticks,
+        };
         self.ticks_since_leader = 0;
         self.election_deadline = ticks + self.rng.random_range(0..=ticks);
     }
@@ -375,7 +389,7 @@
         if !matches!(self.role, RoleState::Follower) || self.leader != Some(leader) {
             self.become_follower(self.term(), Some(leader));
         }
-        self.ticks_since_leader = 0;
+        (self.ticks_since_leader, self.has_heard_leader) = (0, true);
     }
 
     fn accept_entries(
--- a/crates/follow/src/keeper.rs
+++ b/crates/follow/src/keeper.rs
@@ -11,10 +11,13 @@
     sync::Arc,
     time::{Duration, Instant},
 };
+use tokio::time::sleep;
 use types::{ClusterView, EntryInfo, ViewVersion};
 
 /// Period of freshness requests.
 const RENEW_PERIOD: Duration = Duration::from_millis(250);
+/// Period of requests until there is a first view.
+const FIRST_VIEW_PERIOD: Duration = Duration::from_millis(50);
 /// Time allowed for one request.
 const RENEW_TIMEOUT: Duration = Duration::from_millis(600);
 
@@ -65,7 +68,10 @@
         loop {
             self.renew().await;
             self.note_gate();
-            if ticks.tick().await.is_none() {
+            if self.holder.view().version == ViewVersion::default() {
+                // Nothing can be served before the first view.
+                sleep(FIRST_VIEW_PERIOD).await;
+            } else if ticks.tick().await.is_none() {
                 return;
             }
         }
--- a/crates/gateway/src/line.rs
+++ b/crates/gateway/src/line.rs
@@ -18,7 +18,7 @@
 /// The greatest answer body in bytes.
 const MAX_ANSWER_BYTES: u64 = 16 * 1024 * 1024;
 /// Time for which a server is assumed to keep an idle connection when it does not say.
-const DEFAULT_KEEP_ALIVE: Duration = Duration::from_secs(4);
+const DEFAULT_KEEP_ALIVE: Duration = Duration::from_secs(10);
 /// Unacknowledged data older than this ends a connection.
 const USER_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -77,11 +77,11 @@
         Ok(Self { sender, driver, keep_alive: DEFAULT_KEEP_ALIVE, used: Instant::now() })
     }
 
-    /// Says whether the connection may be used once more.
+    /// Says whether the connection may be used once more. A probe goes first, so that a close by
+    /// the server meets that and not a request.
     pub(crate) fn is_usable(&self, now: Instant) -> bool {
-        // Well inside the time that the server keeps it, so that its close does not cross a request.
         let idle = now.saturating_duration_since(self.used);
-        !self.sender.is_closed() && idle < self.keep_alive.mul_f64(0.8)
+        !self.sender.is_closed() && idle < self.keep_alive.mul_f64(0.9)
     }
 
     /// Sends a request and reads its whole answer.
--- a/crates/gateway/src/placer.rs
+++ b/crates/gateway/src/placer.rs
@@ -17,7 +17,10 @@
     sync::Arc,
     time::{Duration, Instant},
 };
-use tokio::{task::JoinHandle, time::timeout};
+use tokio::{
+    task::JoinHandle,
+    time::{timeout, timeout_at},
+};
 use types::{ClusterView, DomainName, EntryName, PoolSpec, ServerName};
 
 /// Servers asked at the same time.
@@ -27,6 +30,11 @@
 /// Time allowed for a probe, the opening of a connection included. Servers answer probes at once;
 /// a lost packet alone costs more than this.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(120);
+/// Time after which the next group is asked although the one before has not answered. Answers to
+/// probes take up to 10 ms with the connection's opening.
+const GROUP_PATIENCE: Duration = Duration::from_millis(25);
+/// Age above which a report of load is too old to act on; load shifts within milliseconds.
+const MAX_REPORT_AGE: Duration = Duration::from_millis(15);
 
 /// A server that has just answered a probe, with the connection on which it did.
 pub(crate) struct ProbedServer {
@@ -66,81 +74,123 @@
 
 impl ServerPlacer {
     /// Returns a server for a request, and how many were asked.
+    ///
+    /// Servers are asked in groups. The next group follows when the one before has answered, or
+    /// takes longer than answers usually do; a server that is good enough ends the search.
     pub(crate) async fn place(
         &self,
         request: &PlaceRequest<'_>,
     ) -> Result<(ProbedServer, usize), PlaceError> {
-        let waves = self.waves(request)?;
-        let mut answered: Vec<ProbedServer> = Vec::new();
-        let (mut asked, mut has_refused_cold) = (0, false);
-        for wave in waves {
-            let mut probes: FuturesUnordered<JoinHandle<_>> =
-                wave.iter().map(|server| self.start_probe(server, request)).collect();
-            asked += probes.len();
-            while let Some(result) = probes.next().await {
-                let Ok(Some(probed)) = result else {
-                    continue;
-                };
-                if probed.candidate.is_cold && !self.may_use_cold(&probed.server, request) {
-                    has_refused_cold = true;
-                    release(probed);
-                    continue;
-                }
-                let is_good = probed.candidate.is_good_enough(&request.need);
-                answered.push(probed);
-                if is_good {
-                    break;
-                }
-            }
-            // Probes that are still on their way give their connections back by themselves.
-            tokio::spawn(async move {
-                while let Some(result) = probes.next().await {
-                    if let Ok(Some(probed)) = result {
-                        release(probed);
-                    }
-                }
-            });
-            if let Some(index) = self.choose(&answered, request)
-                && answered[index].candidate.is_acceptable(&request.need, asked)
-            {
-                return self.take(answered, index, request).map(|probed| (probed, asked));
+        let mut groups = self.groups(request)?.into_iter();
+        let mut search = PlaceSearch::default();
+        loop {
+            let Some(group) = groups.next() else {
+                return self.finish(search, request).await;
+            };
+            search.asked += group.len();
+            search.probes.extend(group.iter().map(|server| self.start_probe(server, request)));
+            let has_good = self.collect(&mut search, request, Some(GROUP_PATIENCE)).await;
+            let is_done = has_good || self.has_acceptable(&search, request);
+            if is_done && let Some(probed) = self.take_best(&mut search, request).await {
+                let asked = search.asked;
+                search.release();
+                return Ok((probed, asked));
             }
         }
-        match self.choose(&answered, request) {
-            Some(index) => self.take(answered, index, request).map(|probed| (probed, asked)),
-            None => {
-                let is_full = has_refused_cold || !answered.is_empty();
-                answered.into_iter().for_each(release);
-                Err(if is_full { PlaceError::Full } else { PlaceError::NoneAnswered })
+    }
+
+    /// Takes the best of all that answer, once all were asked.
+    async fn finish(
+        &self,
+        mut search: PlaceSearch,
+        request: &PlaceRequest<'_>,
+    ) -> Result<(ProbedServer, usize), PlaceError> {
+        if search.answered.is_empty() {
+            self.collect(&mut search, request, None).await;
+        }
+        let taken = self.take_best(&mut search, request).await;
+        let (asked, has_answers) = (search.asked, search.has_answers);
+        search.release();
+        match taken {
+            Some(probed) => Ok((probed, asked)),
+            None if has_answers => Err(PlaceError::Full),
+            None => Err(PlaceError::NoneAnswered),
+        }
+    }
+
+    /// Takes in answers until one is good enough, all have come, or the time is up. Returns whether
+    /// one is good enough.
+    async fn collect(
+        &self,
+        search: &mut PlaceSearch,
+        request: &PlaceRequest<'_>,
+        patience: Option<Duration>,
+    ) -> bool {
+        let until = Instant::now() + patience.unwrap_or(PROBE_TIMEOUT);
+        while let Ok(Some(result)) = timeout_at(until.into(), search.probes.next()).await {
+            let Ok(Some(probed)) = result else {
+                continue;
+            };
+            search.has_answers = true;
+            if probed.candidate.is_cold && !self.may_use_cold(&probed.server, request) {
+                release(probed);
+                continue;
+            }
+            let is_good = probed.candidate.is_good_enough(&request.need);
+            search.answered.push(probed);
+            if is_good || (patience.is_none() && !search.answered.is_empty()) {
+                return is_good;
             }
         }
+        false
     }
 
-    fn choose(&self, answered: &[ProbedServer], request: &PlaceRequest<'_>) -> Option<usize> {
-        let candidates: SmallVec<[PlacementCandidate; 8]> =
-            answered.iter().map(|probed| probed.candidate).collect();
-        cheapest_candidate(&candidates, &request.need)
+    fn has_acceptable(&self, search: &PlaceSearch, request: &PlaceRequest<'_>) -> bool {
+        let is_acceptable =
+            |probed: &ProbedServer| probed.candidate.is_acceptable(&request.need, search.asked);
+        search.answered.iter().any(is_acceptable)
     }
 
-    fn take(
+    /// Takes the cheapest server that has room. One that answered some time ago is asked again.
+    async fn take_best(
         &self,
-        mut answered: Vec<ProbedServer>,
-        index: usize,
+        search: &mut PlaceSearch,
         request: &PlaceRequest<'_>,
-    ) -> Result<ProbedServer, PlaceError> {
-        let chosen = answered.swap_remove(index);
-        answered.into_iter().for_each(release);
-        let rate = request.pool.warm_up_rate_milli;
-        if chosen.candidate.is_cold && !chosen.server.take_cold(Instant::now(), rate) {
-            release(chosen);
-            return Err(PlaceError::Full);
+    ) -> Option<ProbedServer> {
+        loop {
+            let candidates: SmallVec<[PlacementCandidate; 8]> =
+                search.answered.iter().map(|probed| probed.candidate).collect();
+            let index = cheapest_candidate(&candidates, &request.need)?;
+            let chosen = search.answered.swap_remove(index);
+            if chosen.probed.elapsed() > MAX_REPORT_AGE {
+                if let Some(fresh) = self.ask_again(chosen, request).await {
+                    search.answered.push(fresh);
+                }
+                continue;
+            }
+            let rate = request.pool.warm_up_rate_milli;
+            if chosen.candidate.is_cold && !chosen.server.take_cold(Instant::now(), rate) {
+                release(chosen);
+                continue;
+            }
+            return Some(chosen);
         }
-        Ok(chosen)
+    }
+
+    async fn ask_again(
+        &self,
+        stale: ProbedServer,
+        request: &PlaceRequest<'_>,
+    ) -> Option<ProbedServer> {
+        let probe = self.probe(&stale.server, request);
+        let asked = timeout(GROUP_PATIENCE, probe.ask_on(stale.line)).await;
+        let (line, candidate) = asked.ok().flatten()?;
+        Some(ProbedServer { server: stale.server, line, candidate, probed: Instant::now() })
     }
 
     /// Returns the servers to ask, in groups: those of the own failure domain first, those that
     /// did not answer lately last.
-    fn waves(
+    fn groups(
         &self,
         request: &PlaceRequest<'_>,
     ) -> Result<Vec<SmallVec<[Arc<BackendServer>; 4]>>, PlaceError> {
@@ -160,19 +210,19 @@
         let awake = eligible.iter().filter(|server| !server.is_paused(now)).count();
         // Servers that do not answer are asked only where too few others are left.
         eligible.truncate(awake.max(PROBES_AT_ONCE).min(MAX_PROBES));
-        let mut waves: Vec<SmallVec<[Arc<BackendServer>; 4]>> = Vec::new();
+        let mut groups: Vec<SmallVec<[Arc<BackendServer>; 4]>> = Vec::new();
         for server in eligible {
-            match waves.last_mut() {
-                Some(wave)
-                    if wave.len() < PROBES_AT_ONCE
-                        && (wave[0].domain == self.domain) == (server.domain == self.domain) =>
+            match groups.last_mut() {
+                Some(group)
+                    if group.len() < PROBES_AT_ONCE
+                        && (group[0].domain == self.domain) == (server.domain == self.domain) =>
                 {
-                    wave.push(server);
+                    group.push(server);
                 }
-                _ => waves.push(SmallVec::from_iter([server])),
+                _ => groups.push(SmallVec::from_iter([server])),
             }
         }
-        Ok(waves)
+        Ok(groups)
     }
 
     fn may_use_cold(&self, server: &BackendServer, request: &PlaceRequest<'_>) -> bool {
@@ -185,14 +235,40 @@
         server: &Arc<BackendServer>,
         request: &PlaceRequest<'_>,
     ) -> JoinHandle<Option<ProbedServer>> {
-        let probe = ServerProbe {
+        tokio::spawn(self.probe(server, request).run())
+    }
+
+    fn probe(&self, server: &Arc<BackendServer>, request: &PlaceRequest<'_>) -> ServerProbe {
+        ServerProbe {
             server: server.clone(),
             path: request.pool.health_path.clone(),
             is_local: server.domain == self.domain,
             dialect: self.dialect.clone(),
             memory: self.memory.clone(),
-        };
-        tokio::spawn(probe.run())
+        }
+    }
+}
+
+/// The state of one search for a server.
+#[derive(Default)]
+struct PlaceSearch {
+    probes: FuturesUnordered<JoinHandle<Option<ProbedServer>>>,
+    answered: Vec<ProbedServer>,
+    asked: usize,
+    has_answers: bool,
+}
+
+impl PlaceSearch {
+    /// Gives all connections back, those of probes that are still on their way when they end.
+    fn release(mut self) {
+        self.answered.into_iter().for_each(release);
+        tokio::spawn(async move {
+            while let Some(result) = self.probes.next().await {
+                if let Ok(Some(probed)) = result {
+                    release(probed);
+                }
+            }
+        });
     }
 }
 
