Let requests wait in line for room, and refuse early what cannot meet its target

Cause: with all servers full every request searched for itself, gave up after an eighth of its target and was refused; and after a restart of everything requests that had long missed their target took the slots of those that could still meet it. So what can meet its target waits for up to half of it, the rest is refused after an eighth; a server that was full a moment ago is asked last.

--- a/crates/gateway/src/forwarder.rs
+++ b/crates/gateway/src/forwarder.rs
@@ -6,12 +6,15 @@
     attempt::{AttemptEnd, PreparedRequest, run_attempt},
     body::{BodyMemory, HeldMemory},
     placer::{PlaceError, PlaceRequest, ProbedServer, ServerPlacer},
+    service_line::{LinePlace, ServiceLine},
 };
 use bytes::Bytes;
 use futures_util::future::Either;
 use http::{HeaderMap, Method, StatusCode, Uri, header};
 use parking_lot::{Mutex, RwLock};
-use policy::{BudgetTerms, PlacementNeed, SharedBudget, plan_return};
+use policy::{
+    BudgetTerms, CallerPatience, PlacementNeed, RoomNeed, SharedBudget, WaitRank, plan_return,
+};
 use runtime::{DecisionCounters, Histogram, Logger};
 use slog::info;
 use smallvec::SmallVec;
@@ -22,18 +25,25 @@
     sync::Arc,
     time::{Duration, Instant},
 };
-use tokio::time::{sleep, sleep_until};
+use tokio::time::{sleep, sleep_until, timeout_at};
 use types::{
     CallerLimits, ClusterView, PoolSpec, RouteSpec, RouteTable, RoutingDocument, ServerName,
     ServiceName,
 };
 
-/// When to come back while this entry holds no routes yet.
-const NO_ROUTES_WAIT: Duration = Duration::from_millis(300);
+/// Time after which an entry that has just started usually holds routes.
+const NO_ROUTES_WAIT: Duration = Duration::from_millis(250);
 /// Pause before full servers are asked again.
-const ASK_AGAIN_PAUSE: Duration = Duration::from_millis(12);
-/// Part of the target latency for which a request waits for a server with room.
+const ASK_AGAIN_PAUSE: Duration = Duration::from_millis(20);
+/// Requests that may wait in the line of one service.
+const MAX_WAITING: usize = 256;
+/// Routes whose callers' patience is remembered.
+const MAX_PATIENCE_ROUTES: usize = 4_096;
+/// Part of the target latency for which a request waits that can no longer meet it, or that no
+/// server answers. After that a refusal serves the caller better: it knows when to come back.
 const WAIT_SHARE: f64 = 0.12;
+/// The greatest part of the target latency for which a request waits for room.
+const MAX_WAIT_SHARE: f64 = 0.5;
 /// Part of the target latency after which a second server gets an idempotent request.
 const HEDGE_SHARE: f64 = 0.6;
 /// Weight of the latest answer in the usual time of a service's work.
@@ -52,6 +62,7 @@
 struct ServiceNotes {
     budget: SharedBudget,
     usual_work: Option<Duration>,
+    line: Arc<ServiceLine>,
 }
 
 /// Counters and histograms of forwarding.
@@ -73,6 +84,7 @@
     pub(crate) metrics: ForwardMetrics,
     pub(crate) logger: Logger,
     services: Mutex<HashMap<ServiceName, ServiceNotes>>,
+    patience: Mutex<HashMap<Arc<str>, CallerPatience>>,
 }
 
 /// A whole request of a caller.
@@ -92,11 +104,29 @@
     pool: PoolSpec,
     request: PreparedRequest,
     arrived: Instant,
+    /// How long the caller has waited before this attempt.
+    waited: Duration,
     view: Arc<ClusterView>,
     trail: Mutex<CallTrail>,
 }
 
 impl ForwardedCall {
+    /// Returns when the target latency passes, counted from the caller's first attempt.
+    fn target_at(&self) -> Instant {
+        self.arrived + self.route.target().saturating_sub(self.waited)
+    }
+
+    fn rank(&self, now: Instant) -> WaitRank {
+        let is_late = now >= self.target_at();
+        WaitRank { is_late, priority: self.route.priority, arrived: self.arrived }
+    }
+
+    /// Returns when the rank changes, or `end` if that is earlier.
+    fn next_change(&self, now: Instant, end: Instant) -> Instant {
+        let target_at = self.target_at();
+        if target_at > now { target_at.min(end) } else { end }
+    }
+
     /// Says whether the route allows one more server, counting second attempts beside the first.
     fn may_try_again(&self) -> bool {
         self.trail.lock().tried.len() < usize::from(self.route.max_attempts)
@@ -122,7 +152,18 @@
     ) -> Arc<Self> {
         let (dialect, memory) = (placer.dialect.clone(), placer.memory.clone());
         let (routes, services) = (RwLock::default(), Mutex::default());
-        Arc::new(Self { placer, dialect, memory, view, routes, budget, metrics, logger, services })
+        Arc::new(Self {
+            placer,
+            dialect,
+            memory,
+            view,
+            routes,
+            budget,
+            metrics,
+            logger,
+            services,
+            patience: Mutex::default(),
+        })
     }
 
     /// Returns the bounds on what callers may send at present.
@@ -152,7 +193,7 @@
         let terms = self.dialect.request_terms(&request.headers);
         let routes = self.routes.read().clone();
         let Some(routes) = routes else {
-            let answer = GatewayAnswer::refused("no routes are known yet", NO_ROUTES_WAIT);
+            let answer = GatewayAnswer::refused("no routes are known yet", no_routes_wait());
             return self.finish_unrouted(&terms, "no-routes", answer);
         };
         let Some(route) = find_route(&routes, &request).cloned() else {
@@ -177,7 +218,9 @@
             PreparedRequest { id, method, target, headers, body, caller_deadline, deadline };
         let view = self.view.read().clone();
         let is_idempotent = route.is_idempotent;
-        let call = ForwardedCall { route, pool, request, arrived, view, trail: Mutex::default() };
+        let waited = self.note_patience(&route, arrived, terms.time_allowed);
+        let trail = Mutex::default();
+        let call = ForwardedCall { route, pool, request, arrived, waited, view, trail };
         self.with_notes(&call.pool.service, |notes| {
             notes.budget.note_request(arrived, &self.budget);
         });
@@ -209,7 +252,7 @@
             "view" => call.view.version.0, "routing" => call.view.routing_version().0,
             "asked" => trail.asked, "attempts" => trail.text.as_str(),
             "status" => answer.status.as_u16(), "outcome" => outcome,
-            "ms" => elapsed.as_millis() as u64,
+            "waited_ms" => call.waited.as_millis() as u64, "ms" => elapsed.as_millis() as u64,
             "left_ms" => (call.request.caller_deadline - Instant::now()).as_millis() as u64,
             "retry_after_ms" => answer.retry_after.map(|wait| wait.as_millis() as u64));
         answer
@@ -255,42 +298,90 @@
         is_granted
     }
 
-    /// Asks for a server with room, for a short part of the target latency again and again.
+    /// Finds a server with room. While all are full, requests wait in line, those that can still
+    /// meet their target first, as long as there is time to run them.
     async fn find_server(&self, call: &ForwardedCall) -> Result<ProbedServer, PlaceError> {
         let started = Instant::now();
-        let patience = call.route.target().mul_f64(WAIT_SHARE);
+        let line = self.with_notes(&call.pool.service, |notes| notes.line.clone());
+        let mut place: Option<LinePlace> = None;
+        let mut rank = call.rank(started);
+        let hopeless = self.give_up_at(call, started);
         loop {
-            let tried = call.trail.lock().tried.clone();
-            let request = PlaceRequest {
-                view: &call.view,
-                pool: &call.pool,
-                need: self.need(call),
-                excluded: &tried,
-            };
-            let placed = self.placer.place(&request).await;
-            match placed {
-                Ok((probed, asked)) => {
-                    self.metrics.placing.observe(started.elapsed().as_secs_f64());
-                    call.trail.lock().asked += asked;
-                    return Ok(probed);
+            let now = Instant::now();
+            let current = call.rank(now);
+            if place.is_some() && current != rank {
+                place = Some(line.join(current));
+            }
+            rank = current;
+            if place.is_some() || line.would_lead(&rank) {
+                if let Some(place) = &place
+                    && timeout_at(call.next_change(now, hopeless).into(), place.turn())
+                        .await
+                        .is_err()
+                {
+                    if Instant::now() >= hopeless {
+                        return Err(PlaceError::Full);
+                    }
+                    continue;
                 }
-                Err(error) => {
-                    let now = Instant::now();
-                    if now + ASK_AGAIN_PAUSE > (started + patience).min(call.request.deadline) {
+                match self.search(call, rank.is_late).await {
+                    Ok(probed) => {
+                        self.metrics.placing.observe(started.elapsed().as_secs_f64());
+                        return Ok(probed);
+                    }
+                    Err(PlaceError::Full) => {}
+                    Err(error) if started.elapsed() > call.route.target().mul_f64(WAIT_SHARE) => {
                         return Err(error);
                     }
-                    sleep(ASK_AGAIN_PAUSE).await;
+                    Err(_) => {}
                 }
             }
+            if Instant::now() + ASK_AGAIN_PAUSE >= hopeless || line.len() >= MAX_WAITING {
+                return Err(PlaceError::Full);
+            }
+            if place.is_none() {
+                place = Some(line.join(rank));
+            }
+            sleep(ASK_AGAIN_PAUSE).await;
         }
     }
 
-    fn need(&self, call: &ForwardedCall) -> PlacementNeed {
+    /// Returns when a request that finds no room is refused: as long as it can meet its target, it
+    /// waits, but not for longer than a part of that.
+    fn give_up_at(&self, call: &ForwardedCall, now: Instant) -> Instant {
+        let target = call.route.target();
+        let usual_work = self.need(call, RoomNeed::Queue).usual_work;
+        let at_least = now + target.mul_f64(WAIT_SHARE);
+        let at_most = now + target.mul_f64(MAX_WAIT_SHARE);
+        let last_start = call.request.deadline - usual_work;
+        (call.target_at() - usual_work).clamp(at_least, at_most).min(last_start)
+    }
+
+    /// Asks servers once.
+    async fn search(
+        &self,
+        call: &ForwardedCall,
+        is_late: bool,
+    ) -> Result<ProbedServer, PlaceError> {
+        let tried = call.trail.lock().tried.clone();
+        let room = if is_late { RoomNeed::SpareSlot } else { RoomNeed::Queue };
+        let request = PlaceRequest {
+            view: &call.view,
+            pool: &call.pool,
+            need: self.need(call, room),
+            excluded: &tried,
+        };
+        let (probed, asked) = self.placer.place(&request).await?;
+        call.trail.lock().asked += asked;
+        Ok(probed)
+    }
+
+    fn need(&self, call: &ForwardedCall, room: RoomNeed) -> PlacementNeed {
         let target = call.route.target();
         let usual_work = self
             .with_notes(&call.pool.service, |notes| notes.usual_work)
             .unwrap_or_else(|| target.mul_f64(FIRST_WORK_SHARE));
-        PlacementNeed { usual_work, target }
+        PlacementNeed { usual_work, target, room }
     }
 
     /// Runs one attempt, and for an idempotent request a second one beside it if the first takes
@@ -379,7 +470,7 @@
         end: Result<AttemptEnd, PlaceError>,
     ) -> (GatewayAnswer, &'static str) {
         let may_have_run = call.trail.lock().may_have_run;
-        let wait = || plan_return(self.need(call).usual_work, rand::random());
+        let wait = || plan_return(self.need(call, RoomNeed::Queue).usual_work, rand::random());
         match end {
             Ok(AttemptEnd::Answered(answer)) => (self.without_false_promise(answer), "answered"),
             Ok(AttemptEnd::Failed(answer)) => (self.without_false_promise(answer), "server-failed"),
@@ -433,6 +524,17 @@
         answer
     }
 
+    fn note_patience(&self, route: &RouteSpec, now: Instant, stated: Option<Duration>) -> Duration {
+        let Some(stated) = stated else {
+            return Duration::ZERO;
+        };
+        let mut routes = self.patience.lock();
+        if routes.len() > MAX_PATIENCE_ROUTES {
+            routes.clear();
+        }
+        routes.entry(route.name.clone()).or_default().note(now, stated)
+    }
+
     fn with_notes<T>(&self, service: &ServiceName, act: impl FnOnce(&mut ServiceNotes) -> T) -> T {
         let mut services = self.services.lock();
         if let Some(notes) = services.get_mut(service) {
@@ -442,6 +544,11 @@
     }
 }
 
+/// When to come back while this entry holds no routes yet.
+fn no_routes_wait() -> Duration {
+    plan_return(NO_ROUTES_WAIT, rand::random())
+}
+
 fn find_route<'a>(
     routes: &'a InstalledRoutes,
     request: &CallerRequest,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 mod node;
 mod placer;
 mod servers;
+mod service_line;
 
 pub use answer::GatewayAnswer;
 pub use dialect::{AnswerSigns, RequestTerms, SendTerms, WireDialect};
--- a/crates/gateway/src/placer.rs
+++ b/crates/gateway/src/placer.rs
@@ -26,7 +26,7 @@
 /// Servers asked at the same time.
 const PROBES_AT_ONCE: usize = 3;
 /// Servers asked for one request in all.
-const MAX_PROBES: usize = 12;
+const MAX_PROBES: usize = 9;
 /// Time allowed for a probe, the opening of a connection included. Servers answer probes at once;
 /// a lost packet alone costs more than this.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(120);
@@ -204,7 +204,8 @@
         eligible.shuffle(&mut rand::rng());
         let rank = |server: &Arc<BackendServer>| {
             let is_failing = server.failure_share(now) > 0.3;
-            (server.is_paused(now), is_failing, server.domain != self.domain)
+            let is_remote = server.domain != self.domain;
+            (server.is_paused(now), is_failing, server.is_lately_full(now), is_remote)
         };
         eligible.sort_by_key(rank);
         let awake = eligible.iter().filter(|server| !server.is_paused(now)).count();
@@ -292,6 +293,7 @@
         let probed = result.ok().flatten();
         self.server.note_probe(now, probed.is_some());
         let (line, candidate) = probed?;
+        self.server.note_load(now, candidate.load.is_full());
         Some(ProbedServer { server: self.server, line, candidate, probed: now })
     }
 
--- a/crates/gateway/src/servers.rs
+++ b/crates/gateway/src/servers.rs
@@ -20,6 +20,8 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(150);
 /// Longest pause after a server did not answer a probe.
 const MAX_PAUSE: Duration = Duration::from_millis(2_500);
+/// Time for which a server that is full is asked after others; a slot is held for longer.
+const FULL_MEMORY: Duration = Duration::from_millis(40);
 /// Weight of the latest outcome in the share of failures.
 const OUTCOME_WEIGHT: f64 = 0.4;
 /// Time in which a remembered failure loses half of its weight.
@@ -30,6 +32,7 @@
     idle: SmallVec<[ServerLine; 2]>,
     pause_until: Option<Instant>,
     missed_probes: u32,
+    full_at: Option<Instant>,
     failure_share: f64,
     failure_noted: Option<Instant>,
     cold: ColdAllowance,
@@ -90,6 +93,17 @@
         notes.pause_until = Some(now + pause);
     }
 
+    /// Notes whether the server reported that it is full.
+    pub(crate) fn note_load(&self, now: Instant, is_full: bool) {
+        self.notes.lock().full_at = is_full.then_some(now);
+    }
+
+    /// Says whether the server reported a moment ago that it is full.
+    pub(crate) fn is_lately_full(&self, now: Instant) -> bool {
+        let full_at = self.notes.lock().full_at;
+        full_at.is_some_and(|full_at| now.saturating_duration_since(full_at) < FULL_MEMORY)
+    }
+
     /// Notes whether the server handled a request.
     pub(crate) fn note_outcome(&self, now: Instant, has_failed: bool) {
         let mut notes = self.notes.lock();
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod admission;
 mod book;
+mod caller_patience;
 mod cold_share;
 mod cold_start;
 mod directory;
@@ -19,9 +20,11 @@
 mod service_load;
 mod shared_budget;
 mod slow;
+mod waiting_line;
 
 pub use admission::{AdmissionGate, AdmissionSettings, retry_after};
 pub use book::{ANNOUNCEMENT_LEASE, AnnounceOutcome, ServerBook};
+pub use caller_patience::CallerPatience;
 pub use cold_share::{COLD_OWNERS, ColdAllowance, owns_cold_server};
 pub use cold_start::ColdRamp;
 pub use directory::{BEAT_LIMIT, DirectoryServer, ServerDirectory};
@@ -29,7 +32,7 @@
 pub use guide::rank_entries;
 pub use health::{ServerHealth, TryOutcome};
 pub use latency::LatencyTracker;
-pub use placement::{PlacementCandidate, PlacementNeed, ServerLoad, cheapest_candidate};
+pub use placement::{PlacementCandidate, PlacementNeed, RoomNeed, ServerLoad, cheapest_candidate};
 pub use probe_budget::ProbeBudget;
 pub use retry_budget::RetryBudget;
 pub use return_plan::plan_return;
@@ -40,3 +43,4 @@
 };
 pub use shared_budget::{BudgetTerms, SharedBudget};
 pub use slow::MedianBound;
+pub use waiting_line::{WaitRank, WaitTicket, WaitingLine};
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -65,6 +65,15 @@
     pub failure_share: f64,
 }
 
+/// How full a server may be that a request is sent to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RoomNeed {
+    /// A place in its queue will do.
+    Queue,
+    /// At least one slot must stay free, for requests that are worth more.
+    SpareSlot,
+}
+
 /// What a request needs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PlacementNeed {
@@ -72,9 +81,21 @@
     pub usual_work: Duration,
     /// Time within which the answer is of full use.
     pub target: Duration,
+    /// How full the server may be.
+    pub room: RoomNeed,
 }
 
 impl PlacementCandidate {
+    /// Says whether the server has the room that a request needs.
+    pub fn has_room(&self, need: &PlacementNeed) -> bool {
+        match need.room {
+            RoomNeed::Queue => !self.load.is_full(),
+            RoomNeed::SpareSlot => {
+                self.load.running + self.load.waiting + 1 < self.load.slots.max(2)
+            }
+        }
+    }
+
     /// Returns the time in which the server is expected to answer one more request.
     pub fn expected_completion(&self, usual_work: Duration) -> Duration {
         let slots = f64::from(self.load.slots.max(1));
@@ -95,7 +116,7 @@
         let limit = need.target.mul_f64(GOOD_ENOUGH).max(need.usual_work.mul_f64(1.05));
         !self.is_ill
             && self.failure_share < 0.1
-            && !self.load.is_full()
+            && self.has_room(need)
             && self.expected_completion(need.usual_work) <= limit
     }
 
@@ -105,6 +126,7 @@
         self.is_good_enough(need)
             || (asked >= ENOUGH_ASKED
                 && !self.is_ill
+                && self.has_room(need)
                 && self.expected_completion(need.usual_work) <= need.target)
     }
 
@@ -123,12 +145,12 @@
     }
 }
 
-/// Returns the index of the cheapest candidate that is not full, `None` if there is none.
+/// Returns the index of the cheapest candidate that has room, `None` if there is none.
 pub fn cheapest_candidate(
     candidates: &[PlacementCandidate],
     need: &PlacementNeed,
 ) -> Option<usize> {
-    let open = candidates.iter().enumerate().filter(|(_, candidate)| !candidate.load.is_full());
+    let open = candidates.iter().enumerate().filter(|(_, candidate)| candidate.has_room(need));
     let best = open.min_by(|(_, a), (_, b)| a.cost(need).total_cmp(&b.cost(need)));
     best.map(|(index, _)| index)
 }
