--- a/crates/control/src/plane.rs
+++ b/crates/control/src/plane.rs
@@ -13,14 +13,20 @@
     sync::Arc,
     time::{Duration, Instant},
 };
+use tokio::time::sleep;
 use types::{
     AnnounceDecision, Announcement, Command, CommandAnswer, DomainName, RoutingDecision,
-    RoutingDocument, RoutingVersion, ServerName, ServerState,
+    RoutingDocument, RoutingVersion, ServerName, ServerState, SourceText,
 };
 
 /// Time allowed for a decision. Callers of the control plane wait a second for an answer.
 const DECISION_TIMEOUT: Duration = Duration::from_millis(900);
 
+/// Time within which a replica is expected to apply what its leader has confirmed.
+const APPLY_TIMEOUT: Duration = Duration::from_millis(400);
+/// Period at which a replica looks whether it has.
+const APPLY_CHECK_PERIOD: Duration = Duration::from_millis(10);
+
 /// What operators, servers and callers may ask of a replica.
 #[async_trait]
 pub trait ControlPlane: Send + Sync {
@@ -31,11 +37,16 @@
     /// Removes a server that is gone.
     async fn depart(&self, server: ServerName) -> Result<(), ControlError>;
 
-    /// Puts a routing document in force, unless a higher version is.
-    async fn put_routing(&self, document: RoutingDocument) -> Result<RoutingVersion, ControlError>;
+    /// Puts a routing document, with its text as the operator sent it, in force, unless a higher
+    /// version is.
+    async fn put_routing(
+        &self,
+        document: RoutingDocument,
+        source: SourceText,
+    ) -> Result<RoutingVersion, ControlError>;
 
-    /// Returns the routing document in force as of now, confirmed by a quorum.
-    async fn read_routing(&self) -> Result<Arc<RoutingDocument>, ControlError>;
+    /// Returns the text of the routing document in force as of now, confirmed by a quorum.
+    async fn read_routing(&self) -> Result<SourceText, ControlError>;
 
     /// Takes a failure domain out of service (`true`) or brings it back.
     async fn set_drain(&self, domain: DomainName, is_drained: bool) -> Result<(), ControlError>;
@@ -167,7 +178,11 @@
         result
     }
 
-    async fn put_routing(&self, document: RoutingDocument) -> Result<RoutingVersion, ControlError> {
+    async fn put_routing(
+        &self,
+        document: RoutingDocument,
+        source: SourceText,
+    ) -> Result<RoutingVersion, ControlError> {
         let version = document.version;
         if let Err(error) = document.verify() {
             self.counters.count("routing-invalid");
@@ -175,7 +190,7 @@
             return Err(error.into());
         }
         let routes = document.routes.len();
-        let result = self.submit(Command::PutRouting(Arc::new(document))).await;
+        let result = self.submit(Command::PutRouting(Arc::new(document), source)).await;
         let result = match result {
             Ok(CommandAnswer::Routing(RoutingDecision::InForce)) => Ok(version),
             Ok(CommandAnswer::Routing(RoutingDecision::Superseded(held))) => Ok(held),
@@ -193,12 +208,24 @@
         result
     }
 
-    async fn read_routing(&self) -> Result<Arc<RoutingDocument>, ControlError> {
+    async fn read_routing(&self) -> Result<SourceText, ControlError> {
         let base = self.replica.view();
         let view = self.leader.read_since(&base, DECISION_TIMEOUT).await;
         let view = view
             .ok_or_else(|| ControlError::Unavailable("no leader confirmed the read".to_owned()))?;
-        view.routing().cloned().ok_or(ControlError::NoRouting)
+        let version = view.routing().ok_or(ControlError::NoRouting)?.version;
+        // The text is not part of what the leader confirms; this replica may still lack it.
+        let deadline = Instant::now() + APPLY_TIMEOUT;
+        loop {
+            if let Some(source) = self.replica.routing_source(version) {
+                return Ok(source);
+            }
+            if Instant::now() >= deadline {
+                let reason = format!("version {version} has not arrived here yet");
+                return Err(ControlError::Unavailable(reason));
+            }
+            sleep(APPLY_CHECK_PERIOD).await;
+        }
     }
 
     async fn set_drain(&self, domain: DomainName, is_drained: bool) -> Result<(), ControlError> {
--- a/crates/gateway/tests/harness/mod.rs
+++ b/crates/gateway/tests/harness/mod.rs
@@ -249,18 +249,20 @@
 
 /// Routes of the tests: `/read/` is idempotent, `/order/` is not; both allow `max_attempts`.
 pub fn routing(version: u64, max_attempts: u8) -> RoutingDocument {
-    let route = |name: &str, is_idempotent: bool| RouteSpec {
-        name: name.into(),
-        host: "shop.example".into(),
-        prefix: format!("/{name}/").into(),
-        is_idempotent,
-        timeout_ms: 2_000,
-        target_ms: 250,
-        priority: 1,
-        max_attempts,
-        parts: [RoutePart { service: "desk".parse().expect("name"), weight: 1 }]
-            .into_iter()
-            .collect(),
+    let route = |name: &str, is_idempotent: bool| {
+        Arc::new(RouteSpec {
+            name: name.into(),
+            host: "shop.example".into(),
+            prefix: format!("/{name}/").into(),
+            is_idempotent,
+            timeout_ms: 2_000,
+            target_ms: 250,
+            priority: 1,
+            max_attempts,
+            parts: [RoutePart { service: "desk".parse().expect("name"), weight: 1 }]
+                .into_iter()
+                .collect(),
+        })
     };
     RoutingDocument {
         version: RoutingVersion(version),
@@ -273,7 +275,6 @@
             warm_up_rate_milli: 5_000,
         }],
         limits: CallerLimits::default(),
-        source: "".into(),
     }
 }
 
@@ -308,7 +309,7 @@
             is_steward: false,
         };
         let mut state = ClusterState::default();
-        state.apply(LogTime(1), &Command::PutRouting(Arc::new(document)));
+        state.apply(LogTime(1), &Command::PutRouting(Arc::new(document), "".into()));
         state.apply(LogTime(1), &Command::PutEntry(info.clone()));
         for server in servers {
             let announcement = announcement(server, ServerState::Ready, 1);
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -9,6 +9,7 @@
 mod link;
 mod message;
 mod node;
+mod packing;
 mod stream_node;
 mod tls;
 
--- a/crates/peer/src/stream_node.rs
+++ b/crates/peer/src/stream_node.rs
@@ -7,6 +7,7 @@
 use crate::{
     PeerAnswer, PeerError, PeerHandler, PeerLink, PeerRequest, PeerTarget,
     frame::{MAX_FRAME_BYTES, decode_frame, encode_frame},
+    packing::{pack, unpack},
 };
 use async_trait::async_trait;
 use bytes::Bytes;
@@ -138,7 +139,7 @@
         match encode_frame(self.timeline.stamp(), frame) {
             // A peer whose connection broke asks again on another one.
             Ok(frame) => {
-                let _ = queue.send(frame.into()).await;
+                let _ = queue.send(pack(frame)).await;
             }
             Err(_) => self.counters.count("message-malformed"),
         }
@@ -149,12 +150,13 @@
         frames: &mut (impl StreamExt<Item = io::Result<bytes::BytesMut>> + Unpin),
     ) -> Option<StreamFrame> {
         let bytes = frames.next().await?.ok()?;
-        match decode_frame(&bytes) {
-            Ok((time, frame)) => {
+        let decoded = unpack(&bytes).and_then(|frame| decode_frame(&frame).ok());
+        match decoded {
+            Some((time, frame)) => {
                 self.timeline.observe(time);
                 Some(frame)
             }
-            Err(_) => {
+            None => {
                 self.counters.count("message-malformed");
                 None
             }
@@ -219,10 +221,10 @@
         ) else {
             return "the host name cannot be encoded".to_owned();
         };
-        if let Err(error) = sink.send(Bytes::from(hello)).await {
+        if let Err(error) = sink.send(pack(hello)).await {
             return error.to_string();
         }
-        let ping = Bytes::from(ping);
+        let ping = pack(ping);
         let mut pings = interval(PING_PERIOD);
         let mut pinged: Option<Instant> = None;
         let (mut was_used, mut used) = (true, Instant::now());
@@ -278,7 +280,8 @@
     ) -> Result<PeerAnswer, PeerError> {
         let address = target.address;
         let id = self.next_id.fetch_add(1, Ordering::Relaxed);
-        let frame = encode_frame(self.timeline.stamp(), &StreamFrame::Request(id, request))?.into();
+        let frame = encode_frame(self.timeline.stamp(), &StreamFrame::Request(id, request))?;
+        let frame = pack(frame);
         let (waiter, answer) = oneshot::channel();
         let outgoing = OutgoingFrame { frame, waiter: Some((id, waiter)) };
         if self.link(address).try_send(outgoing).is_err() {
@@ -298,7 +301,7 @@
     fn send(&self, target: &PeerTarget, request: PeerRequest) {
         let frame = encode_frame(self.timeline.stamp(), &StreamFrame::Notice(request));
         let is_queued = frame.is_ok_and(|frame| {
-            let outgoing = OutgoingFrame { frame: frame.into(), waiter: None };
+            let outgoing = OutgoingFrame { frame: pack(frame), waiter: None };
             self.link(target.address).try_send(outgoing).is_ok()
         });
         if !is_queued {
--- a/crates/replica/src/driver.rs
+++ b/crates/replica/src/driver.rs
@@ -39,7 +39,7 @@
 };
 use types::{
     ChangeAction, ClusterState, Command, CommandAnswer, HostName, LogTime, ServerIncarnation,
-    ServerName,
+    ServerName, SourceText,
 };
 
 /// Inputs that may wait for the thread.
@@ -102,6 +102,7 @@
     state: ClusterState,
     applied: LogIndex,
     view: Arc<RwLock<Arc<types::ClusterView>>>,
+    routing_source: Arc<RwLock<SourceText>>,
     commands: BTreeMap<LogIndex, PendingCommand>,
     freshness: HashMap<ReadToken, PendingFreshness>,
     ready_reads: Vec<ReadyRead>,
@@ -135,7 +136,8 @@
         }
     });
     let driver = ReplicaDriver::new(settings, store, restored)?;
-    let handle = ReplicaHandle { inputs, view: driver.view.clone() };
+    let (view, routing_source) = (driver.view.clone(), driver.routing_source.clone());
+    let handle = ReplicaHandle { inputs, view, routing_source };
     let runtime = Handle::current();
     std::thread::spawn(move || {
         let _guard = runtime.enter();
@@ -155,6 +157,7 @@
         let snapshot_bytes = restored.image.as_ref().map_or(0, |image| image.state.len() as u64);
         let core = Consensus::new(settings.identity, settings.core.clone(), restored);
         let view = Arc::new(RwLock::new(Arc::new(state.view().clone())));
+        let routing_source = Arc::new(RwLock::new(state.routing_source().clone()));
         Ok(Self {
             settings,
             store,
@@ -162,6 +165,7 @@
             state,
             applied,
             view,
+            routing_source,
             commands: BTreeMap::new(),
             freshness: HashMap::new(),
             ready_reads: Vec::new(),
@@ -449,6 +453,8 @@
     /// Makes the state's view known to other threads, if it has changed.
     fn publish_view(&self) {
         if self.view.read().version != self.state.view().version {
+            let mut source = self.routing_source.write();
+            *source = self.state.routing_source().clone();
             *self.view.write() = Arc::new(self.state.view().clone());
         }
     }
--- a/crates/replica/src/handle.rs
+++ b/crates/replica/src/handle.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use thiserror::Error;
 use tokio::sync::{mpsc, oneshot};
-use types::{ClusterView, Command, HostName};
+use types::{ClusterView, Command, HostName, RoutingVersion, SourceText};
 
 /// The replica's thread has ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
@@ -19,6 +19,7 @@
 pub struct ReplicaHandle {
     pub(crate) inputs: mpsc::Sender<ReplicaInput>,
     pub(crate) view: Arc<RwLock<Arc<ClusterView>>>,
+    pub(crate) routing_source: Arc<RwLock<SourceText>>,
 }
 
 impl ReplicaHandle {
@@ -57,6 +58,13 @@
         self.view.read().clone()
     }
 
+    /// Returns the text of the routing document of a version, if that is the last applied one.
+    pub fn routing_source(&self, version: RoutingVersion) -> Option<SourceText> {
+        // The view changes while the text is locked, so that both belong together.
+        let source = self.routing_source.read();
+        (self.view.read().routing_version() == version).then(|| source.clone())
+    }
+
     /// Hands leadership over, if this replica leads, and ends its thread.
     pub async fn stop(&self) {
         // A replica that has stopped already needs no stop.
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -34,11 +34,12 @@
 };
 pub use routing::{
     CallerLimits, PoolSpec, RoutePart, RouteSpec, RouteTable, RoutingDocument, RoutingError,
-    RoutingVersion,
+    RoutingPatch, RoutingVersion,
 };
 pub use server_info::{Announcement, AnnouncementError, ServerIncarnation, ServerState};
 pub use state::{
-    AnnounceDecision, ClusterState, Command, CommandAnswer, RoutingDecision, StateViolation,
+    AnnounceDecision, ClusterState, Command, CommandAnswer, RoutingDecision, SourceText,
+    StateViolation,
 };
 pub use view::{
     ClusterView, RANGE_COUNT, RangeIndex, RangeLease, VIEW_LOG_LIMIT, ViewChange, ViewError,
--- a/crates/types/src/routing.rs
+++ b/crates/types/src/routing.rs
@@ -33,13 +33,29 @@
     /// Version of the whole document.
     pub version: RoutingVersion,
     /// All routes.
-    pub routes: Vec<RouteSpec>,
+    pub routes: Vec<Arc<RouteSpec>>,
     /// All services that routes may name.
     pub pools: Vec<PoolSpec>,
     /// Bounds on what callers may send.
     pub limits: CallerLimits,
-    /// The document as the operator sent it, for reads.
-    pub source: Arc<str>,
+}
+
+/// What differs between two versions of the routing document.
+///
+/// A document may hold thousands of routes of which a new version changes one, and entries may be
+/// reached over narrow links.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RoutingPatch {
+    /// The version reached.
+    pub version: RoutingVersion,
+    /// Host and prefix of routes that are gone.
+    pub removed: Vec<(Arc<str>, Arc<str>)>,
+    /// Routes that are new or have changed.
+    pub put: Vec<Arc<RouteSpec>>,
+    /// All services, if any has changed.
+    pub pools: Option<Vec<PoolSpec>>,
+    /// The bounds on callers, if any has changed.
+    pub limits: Option<CallerLimits>,
 }
 
 /// Requests of one host below one path prefix.
@@ -173,6 +189,34 @@
         Ok(())
     }
 
+    /// Returns what leads from an older document to this one.
+    pub fn patch_from(&self, older: &Self) -> RoutingPatch {
+        let former: BTreeMap<_, _> = older.routes.iter().map(|r| (r.place(), r)).collect();
+        let places: BTreeSet<_> = self.routes.iter().map(|route| route.place()).collect();
+        let is_gone = |place: &&(Arc<str>, Arc<str>)| !places.contains(*place);
+        let is_new = |route: &&Arc<RouteSpec>| former.get(&route.place()) != Some(route);
+        RoutingPatch {
+            version: self.version,
+            removed: former.keys().filter(is_gone).cloned().collect(),
+            put: self.routes.iter().filter(is_new).cloned().collect(),
+            pools: (self.pools != older.pools).then(|| self.pools.clone()),
+            limits: (self.limits != older.limits).then(|| self.limits.clone()),
+        }
+    }
+
+    /// Returns the document after a patch. The order of routes may differ from the original.
+    pub fn patched(&self, patch: &RoutingPatch) -> Self {
+        let replaced: BTreeSet<_> =
+            patch.removed.iter().cloned().chain(patch.put.iter().map(|r| r.place())).collect();
+        let kept = self.routes.iter().filter(|route| !replaced.contains(&route.place()));
+        Self {
+            version: patch.version,
+            routes: kept.chain(&patch.put).cloned().collect(),
+            pools: patch.pools.clone().unwrap_or_else(|| self.pools.clone()),
+            limits: patch.limits.clone().unwrap_or_else(|| self.limits.clone()),
+        }
+    }
+
     /// Returns the declaration of a service.
     pub fn pool(&self, service: &ServiceName) -> Option<&PoolSpec> {
         self.pools.iter().find(|pool| pool.service == *service)
@@ -185,6 +229,11 @@
         Duration::from_millis(self.timeout_ms.into())
     }
 
+    /// Returns host and prefix, which no two routes of a document share.
+    pub fn place(&self) -> (Arc<str>, Arc<str>) {
+        (self.host.clone(), self.prefix.clone())
+    }
+
     /// Returns the time within which an answer is of full use.
     pub fn target(&self) -> Duration {
         Duration::from_millis(self.target_ms.into())
@@ -231,7 +280,7 @@
     pub fn new(document: &RoutingDocument) -> Self {
         let mut hosts: BTreeMap<Arc<str>, Vec<Arc<RouteSpec>>> = BTreeMap::new();
         for route in &document.routes {
-            hosts.entry(route.host.clone()).or_default().push(Arc::new(route.clone()));
+            hosts.entry(route.host.clone()).or_default().push(route.clone());
         }
         for routes in hosts.values_mut() {
             routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
--- a/crates/types/src/state.rs
+++ b/crates/types/src/state.rs
@@ -41,8 +41,9 @@
     RemoveEntry(EntryName, EntryIncarnation),
     /// Spreads the ranges over the entries.
     BalanceRanges,
-    /// Puts a routing document in force if its version is the highest so far.
-    PutRouting(Arc<RoutingDocument>),
+    /// Puts a routing document, with its text as the operator sent it, in force if its version is
+    /// the highest so far.
+    PutRouting(Arc<RoutingDocument>, SourceText),
     /// Takes a failure domain out of service (`true`) or brings it back; the last one decides.
     SetDrain(DomainName, bool),
     /// Registers a server or changes its state.
@@ -53,6 +54,9 @@
     Expire(ServerName, ServerIncarnation),
 }
 
+/// The text of a routing document as the operator sent it.
+pub type SourceText = Arc<str>;
+
 /// How a routing document was decided.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RoutingDecision {
@@ -133,6 +137,7 @@
     expiry: BTreeSet<(u64, ClaimKey)>,
     departed: BTreeMap<ServerName, ServerIncarnation>,
     departed_order: VecDeque<ServerName>,
+    routing_source: SourceText,
 }
 
 impl ClusterState {
@@ -146,6 +151,11 @@
         &self.view
     }
 
+    /// Returns the text of the routing document in force, as the operator sent it.
+    pub fn routing_source(&self) -> &SourceText {
+        &self.routing_source
+    }
+
     /// Returns the number of claims remembered.
     pub fn claim_count(&self) -> usize {
         self.claims.len()
@@ -175,7 +185,9 @@
             Command::PutEntry(info) => self.put_entry(info),
             Command::RemoveEntry(name, incarnation) => self.remove_entry(name, *incarnation),
             Command::BalanceRanges => self.balance_ranges(),
-            Command::PutRouting(document) => CommandAnswer::Routing(self.put_routing(document)),
+            Command::PutRouting(document, source) => {
+                CommandAnswer::Routing(self.put_routing(document, source))
+            }
             Command::SetDrain(domain, is_drained) => self.set_drain(domain, *is_drained),
             Command::Announce(server) => CommandAnswer::Announce(self.announce(server)),
             Command::Depart(server) => self.depart(server),
@@ -338,12 +350,16 @@
         }
     }
 
-    fn put_routing(&mut self, document: &Arc<RoutingDocument>) -> RoutingDecision {
+    fn put_routing(
+        &mut self,
+        document: &Arc<RoutingDocument>,
+        source: &SourceText,
+    ) -> RoutingDecision {
         let current = self.view.routing();
         let version = self.view.routing_version();
         match current {
             Some(held) if held.version == document.version => {
-                if held == document {
+                if self.routing_source == *source {
                     RoutingDecision::InForce
                 } else {
                     RoutingDecision::OtherContent
@@ -351,7 +367,12 @@
             }
             Some(held) if held.version > document.version => RoutingDecision::Superseded(version),
             _ => {
-                self.change_view(ViewChange::PutRouting(document.clone()));
+                let change = match current {
+                    Some(held) => ViewChange::PatchRouting(Arc::new(document.patch_from(held))),
+                    None => ViewChange::PutRouting(document.clone()),
+                };
+                self.change_view(change);
+                self.routing_source = source.clone();
                 RoutingDecision::InForce
             }
         }
--- a/crates/types/src/view.rs
+++ b/crates/types/src/view.rs
@@ -4,7 +4,7 @@
 //! changes it lacks, and only one that is far behind the whole view.
 
 use crate::{
-    Announcement, DocumentVersion, DomainName, EntryInfo, EntryName, RoutingDocument,
+    Announcement, DocumentVersion, DomainName, EntryInfo, EntryName, RoutingDocument, RoutingPatch,
     RoutingVersion, ServerIncarnation, ServerName, ServiceName, ServiceSpec, TeamDocument,
     TeamName,
 };
@@ -54,8 +54,10 @@
     RemoveEntry(EntryName),
     /// Ranges get a new steward.
     AssignRanges(Vec<(RangeIndex, EntryName)>),
-    /// A routing document replaces the former one.
+    /// The first routing document.
     PutRouting(Arc<RoutingDocument>),
+    /// A routing document differs from the former one by this.
+    PatchRouting(Arc<RoutingPatch>),
     /// A server is new or has changed its state.
     PutServer(Arc<Announcement>),
     /// A server has left, or was silent for too long.
@@ -228,6 +230,10 @@
                 }
             }
             ViewChange::PutRouting(document) => self.routing = Some(document.clone()),
+            ViewChange::PatchRouting(patch) => {
+                let patched = self.routing.as_ref().map(|routing| routing.patched(patch));
+                self.routing = patched.map(Arc::new);
+            }
             ViewChange::PutServer(server) => {
                 self.servers.insert(server.server.clone(), server.clone());
             }
