--- a/crates/daemon/src/site.rs
+++ b/crates/daemon/src/site.rs
@@ -144,7 +144,7 @@
             name: settings.host.as_str().parse()?,
             domain: settings.domain.clone(),
             incarnation: EntryIncarnation(random()),
-            caller_address: settings.listen.callers.context("listen.front: missing")?,
+            caller_address: settings.caller_address()?,
             server_address: none,
             peer_address: settings.peer_address(),
             operator_address: none,
@@ -177,13 +177,12 @@
 
     async fn start_replica(&self) -> Result<ReplicaHandle> {
         let settings = &self.settings;
-        let folder = settings.data_folder.as_ref().context("dataDir: missing")?;
         // A replica whose disk was lost is a new one, so that it never votes twice in a term.
         let identity = match settings.is_first_start {
             true => seed_identity(settings.peer_address()),
             false => ReplicaId(random()),
         };
-        let (store, restored) = FileStore::open(&folder.join("replica"), identity)?;
+        let (store, restored) = FileStore::open(&settings.replica_folder()?, identity)?;
         let replica_settings = ReplicaSettings {
             identity: store.identity(),
             host: settings.host.clone(),
--- a/crates/peer/src/stream_node.rs
+++ b/crates/peer/src/stream_node.rs
@@ -29,9 +29,13 @@
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::{mpsc, oneshot},
+    task::JoinSet,
     time::{interval, timeout},
 };
-use tokio_util::codec::{Framed, LengthDelimitedCodec};
+use tokio_util::{
+    codec::{Framed, LengthDelimitedCodec},
+    task::AbortOnDropHandle,
+};
 use types::HostName;
 
 /// Frames that may wait for one peer; what does not fit is dropped, as on any lossy network.
@@ -80,13 +84,15 @@
         Arc::new(Self { host, links, next_id, timeline, counters })
     }
 
-    /// Takes requests of peers until the task is dropped.
+    /// Takes requests of peers until the task is dropped, which closes their connections.
     pub async fn serve(self: Arc<Self>, listener: TcpListener, handler: Arc<dyn PeerHandler>) {
+        let mut streams = JoinSet::new();
         loop {
+            while streams.try_join_next().is_some() {}
             match listener.accept().await {
                 Ok((stream, _)) => {
                     let (node, handler) = (self.clone(), handler.clone());
-                    tokio::spawn(async move { node.serve_stream(stream, handler).await });
+                    streams.spawn(async move { node.serve_stream(stream, handler).await });
                 }
                 Err(_) => {
                     self.counters.count("accept-failed");
@@ -108,13 +114,13 @@
         };
         self.counters.count("link-accepted");
         let (answers, mut queue) = mpsc::channel::<Bytes>(QUEUE_LIMIT);
-        let writer = tokio::spawn(async move {
+        let _writer = AbortOnDropHandle::new(tokio::spawn(async move {
             while let Some(frame) = queue.recv().await {
                 if sink.send(frame).await.is_err() {
                     return;
                 }
             }
-        });
+        }));
         while let Some(frame) = self.read_frame(&mut frames).await {
             match frame {
                 StreamFrame::Request(id, request) => {
@@ -132,7 +138,6 @@
                 StreamFrame::Hello(_) | StreamFrame::Answer(..) | StreamFrame::Pong => {}
             }
         }
-        writer.abort();
     }
 
     async fn queue_frame(&self, queue: &mpsc::Sender<Bytes>, frame: &StreamFrame) {
--- a/crates/types/src/state.rs
+++ b/crates/types/src/state.rs
@@ -391,10 +391,10 @@
         if self.departed.get(name).is_some_and(|gone| *gone >= server.incarnation) {
             return AnnounceDecision::Stale;
         }
-        if let Some(held) = self.view.server(name) {
-            if let Some(decision) = decide_known(held, server) {
-                return decision;
-            }
+        if let Some(held) = self.view.server(name)
+            && let Some(decision) = decide_known(held, server)
+        {
+            return decision;
         }
         let at_address = self.view.servers().find(|held| held.address == server.address);
         if let Some(held) = at_address.filter(|held| held.server != *name) {
