--- a/crates/gateway/src/forwarder.rs
+++ b/crates/gateway/src/forwarder.rs
@@ -116,15 +116,16 @@
         self.arrived + self.route.target().saturating_sub(self.waited)
     }
 
-    fn rank(&self, now: Instant) -> WaitRank {
-        let is_late = now >= self.target_at();
+    /// Returns the place in line of a request whose work usually takes so long.
+    fn rank(&self, now: Instant, usual_work: Duration) -> WaitRank {
+        let is_late = now + usual_work >= self.target_at();
         WaitRank { is_late, priority: self.route.priority, arrived: self.arrived }
     }
 
     /// Returns when the rank changes, or `end` if that is earlier.
-    fn next_change(&self, now: Instant, end: Instant) -> Instant {
-        let target_at = self.target_at();
-        if target_at > now { target_at.min(end) } else { end }
+    fn next_change(&self, now: Instant, usual_work: Duration, end: Instant) -> Instant {
+        let last_start = self.target_at() - usual_work;
+        if last_start > now { last_start.min(end) } else { end }
     }
 
     /// Says whether the route allows one more server, counting second attempts beside the first.
@@ -304,18 +305,19 @@
         let started = Instant::now();
         let line = self.with_notes(&call.pool.service, |notes| notes.line.clone());
         let mut place: Option<LinePlace> = None;
-        let mut rank = call.rank(started);
+        let usual_work = self.usual_work(call);
+        let mut rank = call.rank(started, usual_work);
         let hopeless = self.give_up_at(call, started);
         loop {
             let now = Instant::now();
-            let current = call.rank(now);
+            let current = call.rank(now, usual_work);
             if place.is_some() && current != rank {
                 place = Some(line.join(current));
             }
             rank = current;
             if place.is_some() || line.would_lead(&rank) {
                 if let Some(place) = &place
-                    && timeout_at(call.next_change(now, hopeless).into(), place.turn())
+                    && timeout_at(call.next_change(now, usual_work, hopeless).into(), place.turn())
                         .await
                         .is_err()
                 {
@@ -350,7 +352,7 @@
     /// waits, but not for longer than a part of that.
     fn give_up_at(&self, call: &ForwardedCall, now: Instant) -> Instant {
         let target = call.route.target();
-        let usual_work = self.need(call, RoomNeed::Queue).usual_work;
+        let usual_work = self.usual_work(call);
         let at_least = now + target.mul_f64(WAIT_SHARE);
         let at_most = now + target.mul_f64(MAX_WAIT_SHARE);
         let last_start = call.request.deadline - usual_work;
@@ -364,11 +366,10 @@
         is_late: bool,
     ) -> Result<ProbedServer, PlaceError> {
         let tried = call.trail.lock().tried.clone();
-        let room = if is_late { RoomNeed::SpareSlot } else { RoomNeed::Queue };
         let request = PlaceRequest {
             view: &call.view,
             pool: &call.pool,
-            need: self.need(call, room),
+            need: self.need(call, is_late),
             excluded: &tried,
         };
         let (probed, asked) = self.placer.place(&request).await?;
@@ -376,12 +377,18 @@
         Ok(probed)
     }
 
-    fn need(&self, call: &ForwardedCall, room: RoomNeed) -> PlacementNeed {
-        let target = call.route.target();
-        let usual_work = self
-            .with_notes(&call.pool.service, |notes| notes.usual_work)
-            .unwrap_or_else(|| target.mul_f64(FIRST_WORK_SHARE));
-        PlacementNeed { usual_work, target, room }
+    fn need(&self, call: &ForwardedCall, is_late: bool) -> PlacementNeed {
+        let (usual_work, target) = (self.usual_work(call), call.route.target());
+        if is_late {
+            return PlacementNeed { usual_work, target, room: RoomNeed::SpareSlot };
+        }
+        let left = call.target_at().saturating_duration_since(Instant::now());
+        PlacementNeed::within(usual_work, target, left)
+    }
+
+    fn usual_work(&self, call: &ForwardedCall) -> Duration {
+        self.with_notes(&call.pool.service, |notes| notes.usual_work)
+            .unwrap_or_else(|| call.route.target().mul_f64(FIRST_WORK_SHARE))
     }
 
     /// Runs one attempt, and for an idempotent request a second one beside it if the first takes
@@ -470,7 +477,7 @@
         end: Result<AttemptEnd, PlaceError>,
     ) -> (GatewayAnswer, &'static str) {
         let may_have_run = call.trail.lock().may_have_run;
-        let wait = || plan_return(self.need(call, RoomNeed::Queue).usual_work, rand::random());
+        let wait = || plan_return(self.usual_work(call), rand::random());
         match end {
             Ok(AttemptEnd::Answered(answer)) => (self.without_false_promise(answer), "answered"),
             Ok(AttemptEnd::Failed(answer)) => (self.without_false_promise(answer), "server-failed"),
--- a/crates/gateway/src/placer.rs
+++ b/crates/gateway/src/placer.rs
@@ -210,7 +210,7 @@
         eligible.sort_by_key(rank);
         let awake = eligible.iter().filter(|server| !server.is_paused(now)).count();
         // Servers that do not answer are asked only where too few others are left.
-        eligible.truncate(awake.max(PROBES_AT_ONCE).min(MAX_PROBES));
+        eligible.truncate(awake.clamp(PROBES_AT_ONCE, MAX_PROBES));
         let mut groups: Vec<SmallVec<[Arc<BackendServer>; 4]>> = Vec::new();
         for server in eligible {
             match groups.last_mut() {
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -68,8 +68,8 @@
 /// How full a server may be that a request is sent to.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RoomNeed {
-    /// A place in its queue will do.
-    Queue,
+    /// It must be expected to answer within this time, be it from its queue.
+    Within(Duration),
     /// At least one slot must stay free, for requests that are worth more.
     SpareSlot,
 }
@@ -85,11 +85,24 @@
     pub room: RoomNeed,
 }
 
+impl PlacementNeed {
+    /// Returns the need of a request that has this much of its target latency left. Work that
+    /// takes longer than the target even at a server that is idle gets the time that it needs.
+    pub fn within(usual_work: Duration, target: Duration, left: Duration) -> Self {
+        let least = usual_work.mul_f64(NEARLY_FULL_FACTOR * 1.1);
+        let used = target.saturating_sub(left);
+        let room = RoomNeed::Within(target.max(least).saturating_sub(used));
+        Self { usual_work, target, room }
+    }
+}
+
 impl PlacementCandidate {
     /// Says whether the server has the room that a request needs.
     pub fn has_room(&self, need: &PlacementNeed) -> bool {
         match need.room {
-            RoomNeed::Queue => !self.load.is_full(),
+            RoomNeed::Within(limit) => {
+                !self.load.is_full() && self.expected_completion(need.usual_work) <= limit
+            }
             RoomNeed::SpareSlot => {
                 self.load.running + self.load.waiting + 1 < self.load.slots.max(2)
             }
