--- a/crates/gateway/src/forwarder.rs
+++ b/crates/gateway/src/forwarder.rs
@@ -13,7 +13,8 @@
 use http::{HeaderMap, Method, StatusCode, Uri, header};
 use parking_lot::{Mutex, RwLock};
 use policy::{
-    BudgetTerms, CallerPatience, PlacementNeed, RoomNeed, SharedBudget, WaitRank, plan_return,
+    BudgetTerms, CallerPatience, PlacementNeed, RoomNeed, SharedBudget, UsualWork, WaitRank,
+    plan_return,
 };
 use runtime::{DecisionCounters, Histogram, Logger};
 use slog::info;
@@ -46,8 +47,6 @@
 const MAX_WAIT_SHARE: f64 = 0.5;
 /// Part of the target latency after which a second server gets an idempotent request.
 const HEDGE_SHARE: f64 = 0.6;
-/// Weight of the latest answer in the usual time of a service's work.
-const WORK_WEIGHT: f64 = 0.05;
 /// Usual time of a service's work before any answer, as a part of the target latency.
 const FIRST_WORK_SHARE: f64 = 0.4;
 
@@ -61,7 +60,7 @@
 #[derive(Default)]
 struct ServiceNotes {
     budget: SharedBudget,
-    usual_work: Option<Duration>,
+    usual_work: Option<UsualWork>,
     line: Arc<ServiceLine>,
 }
 
@@ -116,15 +115,21 @@
         self.arrived + self.route.target().saturating_sub(self.waited)
     }
 
+    /// Returns when the work must have started to meet the target.
+    fn last_start(&self, usual_work: Duration) -> Instant {
+        let reachable = PlacementNeed::reachable_target(usual_work, self.route.target());
+        self.arrived + reachable.saturating_sub(self.waited) - usual_work
+    }
+
     /// Returns the place in line of a request whose work usually takes so long.
     fn rank(&self, now: Instant, usual_work: Duration) -> WaitRank {
-        let is_late = now + usual_work >= self.target_at();
+        let is_late = now >= self.last_start(usual_work);
         WaitRank { is_late, priority: self.route.priority, arrived: self.arrived }
     }
 
     /// Returns when the rank changes, or `end` if that is earlier.
     fn next_change(&self, now: Instant, usual_work: Duration, end: Instant) -> Instant {
-        let last_start = self.target_at() - usual_work;
+        let last_start = self.last_start(usual_work);
         if last_start > now { last_start.min(end) } else { end }
     }
 
@@ -356,7 +361,7 @@
         let at_least = now + target.mul_f64(WAIT_SHARE);
         let at_most = now + target.mul_f64(MAX_WAIT_SHARE);
         let last_start = call.request.deadline - usual_work;
-        (call.target_at() - usual_work).clamp(at_least, at_most).min(last_start)
+        call.last_start(usual_work).clamp(at_least, at_most).min(last_start)
     }
 
     /// Asks servers once.
@@ -388,7 +393,7 @@
 
     fn usual_work(&self, call: &ForwardedCall) -> Duration {
         self.with_notes(&call.pool.service, |notes| notes.usual_work)
-            .unwrap_or_else(|| call.route.target().mul_f64(FIRST_WORK_SHARE))
+            .map_or_else(|| first_guess(&call.route), |usual| usual.get())
     }
 
     /// Runs one attempt, and for an idempotent request a second one beside it if the first takes
@@ -438,7 +443,7 @@
         let elapsed = started.elapsed();
         if matches!(end, AttemptEnd::Answered(_)) && !is_cold && load.running < load.slots {
             let usual = elapsed.mul_f64(100.0 / f64::from(load.slowness_percent.max(1)));
-            self.learn_work(&call.pool.service, usual);
+            self.learn_work(call, usual);
         }
         self.metrics.attempts.count(end.name());
         let mut trail = call.trail.lock();
@@ -462,11 +467,10 @@
         end
     }
 
-    fn learn_work(&self, service: &ServiceName, observed: Duration) {
-        self.with_notes(service, |notes| {
-            let former = notes.usual_work.unwrap_or(observed);
-            let mixed = former.mul_f64(1.0 - WORK_WEIGHT) + observed.mul_f64(WORK_WEIGHT);
-            notes.usual_work = Some(mixed);
+    fn learn_work(&self, call: &ForwardedCall, observed: Duration) {
+        self.with_notes(&call.pool.service, |notes| {
+            let usual = UsualWork::new(first_guess(&call.route));
+            notes.usual_work.get_or_insert(usual).note(observed);
         });
     }
 
@@ -556,6 +560,11 @@
     plan_return(NO_ROUTES_WAIT, rand::random())
 }
 
+/// Returns the usual time of a route's work before any answer.
+fn first_guess(route: &RouteSpec) -> Duration {
+    route.target().mul_f64(FIRST_WORK_SHARE)
+}
+
 fn find_route<'a>(
     routes: &'a InstalledRoutes,
     request: &CallerRequest,
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -20,6 +20,7 @@
 mod service_load;
 mod shared_budget;
 mod slow;
+mod usual_work;
 mod waiting_line;
 
 pub use admission::{AdmissionGate, AdmissionSettings, retry_after};
@@ -43,4 +44,5 @@
 };
 pub use shared_budget::{BudgetTerms, SharedBudget};
 pub use slow::MedianBound;
+pub use usual_work::UsualWork;
 pub use waiting_line::{WaitRank, WaitTicket, WaitingLine};
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -89,10 +89,14 @@
     /// Returns the need of a request that has this much of its target latency left. Work that
     /// takes longer than the target even at a server that is idle gets the time that it needs.
     pub fn within(usual_work: Duration, target: Duration, left: Duration) -> Self {
-        let least = usual_work.mul_f64(NEARLY_FULL_FACTOR * 1.1);
         let used = target.saturating_sub(left);
-        let room = RoomNeed::Within(target.max(least).saturating_sub(used));
-        Self { usual_work, target, room }
+        let reachable = Self::reachable_target(usual_work, target);
+        Self { usual_work, target, room: RoomNeed::Within(reachable.saturating_sub(used)) }
+    }
+
+    /// Returns the target latency, or what the work needs at a nearly full server if that is more.
+    pub fn reachable_target(usual_work: Duration, target: Duration) -> Duration {
+        target.max(usual_work.mul_f64(NEARLY_FULL_FACTOR * 1.1))
     }
 }
 
