--- a/crates/follow/tests/leader.rs
+++ b/crates/follow/tests/leader.rs
@@ -96,6 +96,7 @@
     let finder = LeaderFinder::new(link.clone(), vec![target(1), target(2), target(3)]);
     let accept = |answer: &PeerAnswer| match answer {
         PeerAnswer::Submit(SubmitAnswer::Applied(_)) => LeaderAnswer::Here,
+        PeerAnswer::Submit(SubmitAnswer::NotLeader(hint)) => LeaderAnswer::Elsewhere(hint.clone()),
         _ => LeaderAnswer::Elsewhere(None),
     };
     let request = PeerRequest::Submit(Command::BalanceRanges);
