--- a/crates/gateway/src/placer.rs
+++ b/crates/gateway/src/placer.rs
@@ -36,6 +36,27 @@
 /// Age above which a report of load is too old to act on; load shifts within milliseconds.
 const MAX_REPORT_AGE: Duration = Duration::from_millis(15);
 
+/// Servers of one service and one side of the failure domain's border that an entry asks before
+/// others. Enough to find one with room, few enough to keep connections to.
+const PREFERRED_SERVERS: usize = 12;
+
+/// The order in which servers are asked, lowest first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct ServerRank {
+    /// It did not answer lately.
+    is_paused: bool,
+    /// It is cold, and other entries may use it.
+    is_cold: bool,
+    /// It failed many of the entry's last requests.
+    is_failing: bool,
+    /// It was full a moment ago.
+    is_full: bool,
+    /// It is in another failure domain.
+    is_remote: bool,
+    /// The entry seldom uses it.
+    is_unusual: bool,
+}
+
 /// A server that has just answered a probe, with the connection on which it did.
 pub(crate) struct ProbedServer {
     pub(crate) server: Arc<BackendServer>,
@@ -184,7 +205,7 @@
     ) -> Option<ProbedServer> {
         let probe = self.probe(&stale.server, request);
         let asked = timeout(GROUP_PATIENCE, probe.ask_on(stale.line)).await;
-        let (line, candidate) = asked.ok().flatten()?;
+        let ProbeAnswer { line, candidate, .. } = asked.ok().flatten()?;
         Some(ProbedServer { server: stale.server, line, candidate, probed: Instant::now() })
     }
 
@@ -196,21 +217,32 @@
     ) -> Result<Vec<SmallVec<[Arc<BackendServer>; 4]>>, PlaceError> {
         let servers = self.table.servers(&request.pool.service);
         let now = Instant::now();
-        let mut eligible: Vec<Arc<BackendServer>> =
-            servers.iter().filter(|s| !request.excluded.contains(&s.name)).cloned().collect();
-        if eligible.is_empty() {
+        let mut preferred = [0, 0];
+        let mut ranked = Vec::with_capacity(servers.len());
+        for server in servers.iter().filter(|s| !request.excluded.contains(&s.name)) {
+            let is_remote = server.domain != self.domain;
+            let count = &mut preferred[usize::from(is_remote)];
+            *count += 1;
+            let rank = ServerRank {
+                is_paused: server.is_paused(now),
+                is_cold: server.is_known_cold(now) && !self.may_use_cold(server, request),
+                is_failing: server.failure_share(now) > 0.3,
+                is_full: server.is_lately_full(now),
+                is_remote,
+                is_unusual: *count > PREFERRED_SERVERS,
+            };
+            ranked.push((rank, server.clone()));
+        }
+        if ranked.is_empty() {
             return Err(PlaceError::NoServers);
         }
-        eligible.shuffle(&mut rand::rng());
-        let rank = |server: &Arc<BackendServer>| {
-            let is_failing = server.failure_share(now) > 0.3;
-            let is_remote = server.domain != self.domain;
-            (server.is_paused(now), is_failing, server.is_lately_full(now), is_remote)
-        };
-        eligible.sort_by_key(rank);
-        let awake = eligible.iter().filter(|server| !server.is_paused(now)).count();
-        // Servers that do not answer are asked only where too few others are left.
-        eligible.truncate(awake.clamp(PROBES_AT_ONCE, MAX_PROBES));
+        ranked.shuffle(&mut rand::rng());
+        ranked.sort_by_key(|(rank, _)| *rank);
+        let usable = ranked.iter().filter(|(rank, _)| !rank.is_paused && !rank.is_cold).count();
+        // Servers that do not answer, or are cold for others to use, are asked only where too few
+        // others are left.
+        ranked.truncate(usable.clamp(PROBES_AT_ONCE, MAX_PROBES));
+        let eligible = ranked.into_iter().map(|(_, server)| server);
         let mut groups: Vec<SmallVec<[Arc<BackendServer>; 4]>> = Vec::new();
         for server in eligible {
             match groups.last_mut() {
@@ -278,6 +310,13 @@
     probed.server.put_line(probed.line);
 }
 
+/// What a server answered.
+struct ProbeAnswer {
+    line: ServerLine,
+    candidate: PlacementCandidate,
+    warm_up_left: Duration,
+}
+
 struct ServerProbe {
     server: Arc<BackendServer>,
     path: Arc<str>,
@@ -292,13 +331,14 @@
         let now = Instant::now();
         let probed = result.ok().flatten();
         self.server.note_probe(now, probed.is_some());
-        let (line, candidate) = probed?;
+        let ProbeAnswer { line, candidate, warm_up_left } = probed?;
         self.server.note_load(now, candidate.load.is_full());
+        self.server.note_warm_up(now, warm_up_left);
         Some(ProbedServer { server: self.server, line, candidate, probed: now })
     }
 
     /// Asks on an idle connection, or on a fresh one where that has gone.
-    async fn ask(&self) -> Option<(ServerLine, PlacementCandidate)> {
+    async fn ask(&self) -> Option<ProbeAnswer> {
         if let Some(line) = self.server.take_line(Instant::now())
             && let Some(answer) = self.ask_on(line).await
         {
@@ -308,7 +348,7 @@
         self.ask_on(line).await
     }
 
-    async fn ask_on(&self, mut line: ServerLine) -> Option<(ServerLine, PlacementCandidate)> {
+    async fn ask_on(&self, mut line: ServerLine) -> Option<ProbeAnswer> {
         let request = Request::get(&*self.path)
             .header(header::HOST, self.server.address.to_string())
             .body(Full::new(Bytes::new()))
@@ -319,13 +359,14 @@
         if !answer.is_kept || signs.server.as_deref() != Some(self.server.name.as_str()) {
             return None;
         }
+        let warm_up_left = signs.warm_up_left.unwrap_or_default();
         let candidate = PlacementCandidate {
             load: signs.load.unwrap_or_else(|| ServerLoad::idle(self.server.slots)),
             is_local: self.is_local,
-            is_cold: signs.warm_up_left.is_some_and(|left| !left.is_zero()),
+            is_cold: !warm_up_left.is_zero(),
             is_ill: answer.status != StatusCode::OK,
             failure_share: self.server.failure_share(Instant::now()),
         };
-        Some((line, candidate))
+        Some(ProbeAnswer { line, candidate, warm_up_left })
     }
 }
--- a/crates/gateway/src/servers.rs
+++ b/crates/gateway/src/servers.rs
@@ -2,16 +2,18 @@
 
 use crate::line::ServerLine;
 use parking_lot::{Mutex, RwLock};
-use policy::ColdAllowance;
+use policy::{ColdAllowance, rendezvous_weight};
 use smallvec::SmallVec;
 use std::{
+    cmp::Reverse,
     collections::HashMap,
     net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
 };
 use types::{
-    Announcement, ClusterView, DomainName, ServerIncarnation, ServerName, ServerState, ServiceName,
+    Announcement, ClusterView, DomainName, EntryName, ServerIncarnation, ServerName, ServerState,
+    ServiceName,
 };
 
 /// Idle connections kept for one server.
@@ -33,6 +35,7 @@
     pause_until: Option<Instant>,
     missed_probes: u32,
     full_at: Option<Instant>,
+    cold_until: Option<Instant>,
     failure_share: f64,
     failure_noted: Option<Instant>,
     cold: ColdAllowance,
@@ -118,6 +121,16 @@
         self.notes.lock().failure_share_at(now)
     }
 
+    /// Notes how much longer the server is cold.
+    pub(crate) fn note_warm_up(&self, now: Instant, left: Duration) {
+        self.notes.lock().cold_until = (!left.is_zero()).then(|| now + left);
+    }
+
+    /// Says whether the server is still cold by its own last account.
+    pub(crate) fn is_known_cold(&self, now: Instant) -> bool {
+        self.notes.lock().cold_until.is_some_and(|until| now < until)
+    }
+
     /// Says whether this entry's share of the cold server's rate has room.
     pub(crate) fn has_cold_room(&self, now: Instant) -> bool {
         self.notes.lock().cold.has_room(now)
@@ -143,13 +156,19 @@
 /// The servers of each service that may get new work.
 pub(crate) type ServerList = Arc<[Arc<BackendServer>]>;
 
-/// All servers that may get new work, by service.
-#[derive(Default)]
+/// All servers that may get new work, by service; in each list those first that this entry prefers,
+/// so that it keeps connections to few of many servers.
 pub(crate) struct ServerTable {
+    entry: EntryName,
     services: RwLock<HashMap<ServiceName, ServerList>>,
 }
 
 impl ServerTable {
+    /// Returns an empty table of an entry.
+    pub(crate) fn new(entry: EntryName) -> Self {
+        Self { entry, services: RwLock::default() }
+    }
+
     /// Returns the servers of a service that may get new work.
     pub(crate) fn servers(&self, service: &ServiceName) -> ServerList {
         self.services.read().get(service).cloned().unwrap_or_default()
@@ -178,7 +197,10 @@
             let server = kept.unwrap_or_else(|| Arc::new(fresh));
             services.entry(announcement.service.clone()).or_default().push(server);
         }
-        let services = services.into_iter().map(|(service, list)| (service, list.into()));
+        let services = services.into_iter().map(|(service, mut list)| {
+            list.sort_by_cached_key(|server| Reverse(rendezvous_weight(&self.entry, &server.name)));
+            (service, list.into())
+        });
         *self.services.write() = services.collect();
     }
 }
--- a/crates/gateway/tests/forwarding.rs
+++ b/crates/gateway/tests/forwarding.rs
@@ -215,3 +215,26 @@
     assert_eq!(gateway.send("GET", "/other/", "r1").await.status, StatusCode::NOT_FOUND);
     assert_eq!(server.probes.load(Ordering::SeqCst), 0);
 }
+
+/// A zone returns cold while another has room: its servers are not asked for every request, and no
+/// request is refused.
+#[tokio::test]
+async fn zone_returning_cold_is_passed_over_beyond_its_rate() {
+    let mut servers = Vec::new();
+    for number in 0..8 {
+        let cold = ScriptedServer::start(&format!("c{number}"), "a", Script::Answer(200, 0)).await;
+        cold.cold_ms.store(60_000, Ordering::SeqCst);
+        servers.push(cold);
+    }
+    servers.push(ScriptedServer::start("warm", "b", Script::Answer(200, 0)).await);
+    let all: Vec<&Arc<ScriptedServer>> = servers.iter().collect();
+    let gateway = TestGateway::start(routing(1, 2), &all).await;
+    for number in 0..40 {
+        let answer = gateway.send("GET", "/read/x", &format!("r{number}")).await;
+        assert_eq!(answer.status, StatusCode::OK, "{number}");
+    }
+    let asked: usize = servers[..8].iter().map(|s| s.probes.load(Ordering::SeqCst)).sum();
+    // Without memory each request asks a whole group of three.
+    assert!(asked < 40 * 2, "cold servers were asked {asked} times");
+    assert!(servers[8].runs() >= 20, "{}", servers[8].runs());
+}
--- a/crates/policy/src/cold_share.rs
+++ b/crates/policy/src/cold_share.rs
@@ -46,8 +46,9 @@
     }
 }
 
-/// FNV-1a over both names, finished by a multiply-shift mix.
-fn rendezvous_weight(entry: &EntryName, server: &ServerName) -> u64 {
+/// Returns the weight of a pair in rendezvous hashing: FNV-1a over both names, finished by a
+/// multiply-shift mix.
+pub fn rendezvous_weight(entry: &EntryName, server: &ServerName) -> u64 {
     let bytes = entry.as_str().bytes().chain([0]).chain(server.as_str().bytes());
     let hash = bytes.fold(0xcbf2_9ce4_8422_2325_u64, |hash, byte| {
         (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -26,7 +26,7 @@
 pub use admission::{AdmissionGate, AdmissionSettings, retry_after};
 pub use book::{ANNOUNCEMENT_LEASE, AnnounceOutcome, ServerBook};
 pub use caller_patience::CallerPatience;
-pub use cold_share::{COLD_OWNERS, ColdAllowance, owns_cold_server};
+pub use cold_share::{COLD_OWNERS, ColdAllowance, owns_cold_server, rendezvous_weight};
 pub use cold_start::ColdRamp;
 pub use directory::{BEAT_LIMIT, DirectoryServer, ServerDirectory};
 pub use freshness::FreshnessGate;
