Do not hand a request over to oneself

Cause: while ranges move, a server can be listed under an entry that may not warm it up yet; the entry then handed requests to itself over the loopback link, which served nobody, and the time line showed a hand-over within one host.

--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -300,6 +300,10 @@
         to: &EntryName,
         deadline: Instant,
     ) -> HandOverEnd {
+        // While ranges move, a server may be listed under this entry before it may warm it up.
+        if *to == self.context.name() {
+            return HandOverEnd::NotReached;
+        }
         let Some(target) = self.roster.entry_target(to) else {
             return HandOverEnd::NotReached;
         };
