--- a/crates/follow/src/keeper.rs
+++ b/crates/follow/src/keeper.rs
@@ -18,6 +18,11 @@
 const RENEW_PERIOD: Duration = Duration::from_millis(250);
 /// Period of requests until there is a first view.
 const FIRST_VIEW_PERIOD: Duration = Duration::from_millis(50);
+/// Longest period of requests until there is a first view.
+const MAX_FIRST_VIEW_PERIOD: Duration = Duration::from_millis(600);
+/// Pause until the next request for a first view, in multiples of the time that the last one took.
+/// When all entries start together, replicas that are slow to answer are asked less often.
+const FIRST_VIEW_BACKOFF: u32 = 6;
 /// Time allowed for one request.
 const RENEW_TIMEOUT: Duration = Duration::from_millis(600);
 
@@ -66,11 +71,12 @@
     pub async fn run(mut self) {
         let mut ticks = self.tools.timer.subscribe(RENEW_PERIOD);
         loop {
+            let asked = Instant::now();
             self.renew().await;
             self.note_gate();
             if self.holder.view().version == ViewVersion::default() {
                 // Nothing can be served before the first view.
-                sleep(FIRST_VIEW_PERIOD).await;
+                sleep(first_view_pause(asked.elapsed())).await;
             } else if ticks.tick().await.is_none() {
                 return;
             }
@@ -133,6 +139,11 @@
     }
 }
 
+/// Returns the pause before the next request for a first view.
+fn first_view_pause(last_took: Duration) -> Duration {
+    (last_took * FIRST_VIEW_BACKOFF).clamp(FIRST_VIEW_PERIOD, MAX_FIRST_VIEW_PERIOD)
+}
+
 /// Says whether the answer to a freshness request comes from the leader.
 pub(crate) fn is_granted(answer: &PeerAnswer) -> LeaderAnswer {
     match answer {
