Keep the whole election timeout once a leader was heard of; send a first view, not its history

Cause: the short timer of a replica that has just started was set before its leader was heard of and kept running, 150 to 300 ms against heartbeats of 100 ms, so that a follower on a busy host stood again and again.

--- a/crates/consensus/src/core.rs
+++ b/crates/consensus/src/core.rs
@@ -330,6 +330,14 @@
         self.election_deadline = ticks + self.rng.random_range(0..=ticks);
     }
 
+    /// Ends the time of short election timers. The one that runs is replaced too: it would end
+    /// between two heartbeats of a leader that is a little late.
+    pub(crate) fn note_leader(&mut self) {
+        if !std::mem::replace(&mut self.has_heard_leader, true) {
+            self.reset_election_timer();
+        }
+    }
+
     pub(crate) fn append(&mut self, time: LogTime, payload: LogPayload) -> LogIndex {
         let index = self.log.last_index().next();
         let time = time.max(self.log.last_time());
@@ -389,7 +397,8 @@
         if !matches!(self.role, RoleState::Follower) || self.leader != Some(leader) {
             self.become_follower(self.term(), Some(leader));
         }
-        (self.ticks_since_leader, self.has_heard_leader) = (0, true);
+        self.ticks_since_leader = 0;
+        self.note_leader();
     }
 
     fn accept_entries(
--- a/crates/consensus/src/leader.rs
+++ b/crates/consensus/src/leader.rs
@@ -150,6 +150,7 @@
     }
 
     pub(crate) fn become_leader(&mut self) {
+        self.note_leader();
         let first_index = self.log.last_index().next();
         self.role = RoleState::Leader(Leadership {
             progress: BTreeMap::new(),
--- a/crates/types/src/state.rs
+++ b/crates/types/src/state.rs
@@ -164,8 +164,10 @@
     /// Returns what an entry at `version` needs to reach the current view.
     pub fn update_since(&self, version: ViewVersion) -> ViewUpdate {
         let behind = self.view.version.0.checked_sub(version.0).map(|count| count as usize);
+        // For an entry that holds nothing, the view is smaller than its whole history.
+        let holds_nothing = version == ViewVersion::default() && behind > Some(0);
         match behind {
-            Some(count) if count <= self.recent.len() => {
+            Some(count) if count <= self.recent.len() && !holds_nothing => {
                 let skipped = self.recent.len() - count;
                 ViewUpdate::Changes(self.recent.iter().skip(skipped).cloned().collect())
             }
