Leave a frozen leader for the one that was elected meanwhile

Cause: the change that waits for large answers of the leader asked the others once; while they still named a leader that had just frozen, the entry waited for it for 3 s, and its view was older than 2 s. The others are now asked again every 150 ms.

--- a/crates/follow/src/leader.rs
+++ b/crates/follow/src/leader.rs
@@ -25,6 +25,8 @@
 /// Time that an answer may take beyond the timeout after which other replicas are asked too. A view
 /// of the target size takes about 2 s over a link of 2 Mbit/s.
 const LARGE_ANSWER_TIME: Duration = Duration::from_millis(2_500);
+/// Period at which other replicas are asked again while a leader's answer is waited for.
+const RECHECK_PERIOD: Duration = Duration::from_millis(150);
 /// Pause before the replicas are asked again.
 const RETRY_PAUSE: Duration = Duration::from_millis(20);
 
@@ -113,18 +115,26 @@
                 None => self.ask_all(request, timeout, &accept).await,
             };
         }
-        let others = pin!(self.ask_others(request, timeout, &accept, Some(&leader)));
-        match select(first, others).await {
-            Either::Left((answer, others)) => match self.judge(&leader, answer, &accept) {
-                Some(answer) => Some(answer),
-                None => others.await.answer,
-            },
-            Either::Right((others, first)) => {
-                if others.answer.is_some() || !others.name_skipped {
-                    return others.answer;
+        let until = Instant::now() + LARGE_ANSWER_TIME;
+        loop {
+            let others = pin!(self.ask_others(request, timeout, &accept, Some(&leader)));
+            match select(first.as_mut(), others).await {
+                Either::Left((answer, others)) => {
+                    return match self.judge(&leader, answer, &accept) {
+                        Some(answer) => Some(answer),
+                        None => others.await.answer,
+                    };
                 }
-                let answer = first.await;
-                self.judge(&leader, answer, &accept)
+                Either::Right((others, _)) => {
+                    let is_over = !others.name_skipped || Instant::now() >= until;
+                    if others.answer.is_some() || is_over {
+                        return others.answer;
+                    }
+                }
+            }
+            // The others may still name a leader that has just stopped.
+            if let Ok(answer) = tokio::time::timeout(RECHECK_PERIOD, &mut first).await {
+                return self.judge(&leader, answer, &accept);
             }
         }
     }
--- a/crates/follow/tests/leader.rs
+++ b/crates/follow/tests/leader.rs
@@ -105,3 +105,54 @@
     assert!(finder.ask(&request, timeout, accept).await.is_some(), "waits for its answer");
     assert_eq!(link.asked.load(Ordering::SeqCst), 2);
 }
+
+/// A leader that has frozen: the others follow it until they have elected another one.
+struct FrozenLeader {
+    asked: AtomicUsize,
+}
+
+#[async_trait]
+impl PeerLink for FrozenLeader {
+    async fn call(
+        &self,
+        called: &PeerTarget,
+        _request: PeerRequest,
+        limit: Duration,
+    ) -> Result<PeerAnswer, PeerError> {
+        let is_first = self.asked.fetch_add(1, Ordering::SeqCst) == 0;
+        let name = |named: PeerTarget| ReplicaAddress { host: named.host, address: named.address };
+        let answer = match called.address.port() {
+            1 if is_first => SubmitAnswer::Applied(CommandAnswer::Done),
+            1 => {
+                tokio::time::sleep(limit).await;
+                return Err(PeerError::TimedOut { address: called.address, timeout_ms: 0 });
+            }
+            4 => SubmitAnswer::Applied(CommandAnswer::Done),
+            _ if self.asked.load(Ordering::SeqCst) < 8 => {
+                SubmitAnswer::NotLeader(Some(name(target(1))))
+            }
+            _ => SubmitAnswer::NotLeader(Some(name(target(4)))),
+        };
+        Ok(PeerAnswer::Submit(answer))
+    }
+
+    fn send(&self, _target: &PeerTarget, _request: PeerRequest) {}
+}
+
+/// Found by daemon/tests/freshness.rs: an entry waited for a frozen leader for 3 s, since the others
+/// still named it when they were asked, and its view was no longer fresh.
+#[tokio::test]
+async fn frozen_leader_is_left_for_the_one_elected_meanwhile() {
+    let link = Arc::new(FrozenLeader { asked: AtomicUsize::new(0) });
+    let finder = LeaderFinder::new(link, vec![target(1), target(2), target(3)]);
+    let accept = |answer: &PeerAnswer| match answer {
+        PeerAnswer::Submit(SubmitAnswer::Applied(_)) => LeaderAnswer::Here,
+        PeerAnswer::Submit(SubmitAnswer::NotLeader(hint)) => LeaderAnswer::Elsewhere(hint.clone()),
+        _ => LeaderAnswer::Elsewhere(None),
+    };
+    let request = PeerRequest::Submit(Command::BalanceRanges);
+    let timeout = Duration::from_millis(50);
+    assert!(finder.ask(&request, timeout, accept).await.is_some(), "finds the first leader");
+    assert!(finder.ask(&request, timeout, accept).await.is_some(), "finds the second one");
+    assert_eq!(finder.leader(), Some(target(4)));
+}
