--- a/crates/follow/src/keeper.rs
+++ b/crates/follow/src/keeper.rs
@@ -19,10 +19,10 @@
 /// Period of requests until there is a first view.
 const FIRST_VIEW_PERIOD: Duration = Duration::from_millis(50);
 /// Longest period of requests until there is a first view.
-const MAX_FIRST_VIEW_PERIOD: Duration = Duration::from_millis(600);
+const MAX_FIRST_VIEW_PERIOD: Duration = Duration::from_millis(200);
 /// Pause until the next request for a first view, in multiples of the time that the last one took.
 /// When all entries start together, replicas that are slow to answer are asked less often.
-const FIRST_VIEW_BACKOFF: u32 = 6;
+const FIRST_VIEW_BACKOFF: u32 = 2;
 /// Time allowed for one request.
 const RENEW_TIMEOUT: Duration = Duration::from_millis(600);
 
