Keep the age of directory answers in the control plane

How long callers may keep an answer is a decision, and stood in the adapter, with a second copy behind the time for which a stopping entry still takes connections. No change of behaviour.

--- a/crates/control/src/directory.rs
+++ b/crates/control/src/directory.rs
@@ -1,8 +1,11 @@
 //! Which entries a caller is told to use.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 use types::{ClusterView, DomainName, EntryInfo};
 
+/// How long callers may keep an answer of the directory. A stopping entry takes connections for a
+/// little longer.
+pub const DIRECTORY_MAX_AGE: Duration = Duration::from_secs(2);
 /// The fewest entries of a caller's own failure domain that are named alone. With fewer, a caller
 /// whose only entry fails would have nowhere to go until it asks again.
 const MIN_LOCAL_ENTRIES: usize = 2;
--- a/crates/follow/tests/leader.rs
+++ b/crates/follow/tests/leader.rs
@@ -43,6 +43,14 @@
     PeerTarget { host: format!("core-{port}").parse().expect("valid name"), address }
 }
 
+fn accept(answer: &PeerAnswer) -> LeaderAnswer {
+    match answer {
+        PeerAnswer::Submit(SubmitAnswer::Applied(_)) => LeaderAnswer::Here,
+        PeerAnswer::Submit(SubmitAnswer::NotLeader(hint)) => LeaderAnswer::Elsewhere(hint.clone()),
+        _ => LeaderAnswer::Elsewhere(None),
+    }
+}
+
 /// After a restart of the whole system an entry knows the seeds only. When none of them leads, the
 /// leader that they name must be asked although it is on no list.
 #[tokio::test]
@@ -94,11 +102,6 @@
     let leader = ReplicaAddress { host, address };
     let link = Arc::new(NarrowLink { leader, asked: AtomicUsize::new(0) });
     let finder = LeaderFinder::new(link.clone(), vec![target(1), target(2), target(3)]);
-    let accept = |answer: &PeerAnswer| match answer {
-        PeerAnswer::Submit(SubmitAnswer::Applied(_)) => LeaderAnswer::Here,
-        PeerAnswer::Submit(SubmitAnswer::NotLeader(hint)) => LeaderAnswer::Elsewhere(hint.clone()),
-        _ => LeaderAnswer::Elsewhere(None),
-    };
     let request = PeerRequest::Submit(Command::BalanceRanges);
     let timeout = Duration::from_millis(50);
     assert!(finder.ask(&request, timeout, accept).await.is_some(), "finds the leader");
@@ -145,11 +148,6 @@
 async fn frozen_leader_is_left_for_the_one_elected_meanwhile() {
     let link = Arc::new(FrozenLeader { asked: AtomicUsize::new(0) });
     let finder = LeaderFinder::new(link, vec![target(1), target(2), target(3)]);
-    let accept = |answer: &PeerAnswer| match answer {
-        PeerAnswer::Submit(SubmitAnswer::Applied(_)) => LeaderAnswer::Here,
-        PeerAnswer::Submit(SubmitAnswer::NotLeader(hint)) => LeaderAnswer::Elsewhere(hint.clone()),
-        _ => LeaderAnswer::Elsewhere(None),
-    };
     let request = PeerRequest::Submit(Command::BalanceRanges);
     let timeout = Duration::from_millis(50);
     assert!(finder.ask(&request, timeout, accept).await.is_some(), "finds the first leader");
