Let attempts to connect to a peer overlap

Cause: the opening packet to a host without power is lost. Ruled out: a slow start of the processes (they listen 2 ms after they log). Now an attempt starts each 100 ms until one succeeds, one is refused, or 500 ms have passed.

--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -10,6 +10,7 @@
 mod message;
 mod node;
 mod packing;
+mod reach;
 mod stream_node;
 mod tls;
 
@@ -22,5 +23,6 @@
     SubmitAnswer,
 };
 pub use node::{LinkTraffic, PeerNode};
+pub use reach::{ATTEMPT_PERIOD, reach};
 pub use stream_node::StreamNode;
 pub use tls::{TlsMaterial, operator_client_config, operator_server_config};
--- a/crates/peer/src/stream_node.rs
+++ b/crates/peer/src/stream_node.rs
@@ -8,6 +8,7 @@
     PeerAnswer, PeerError, PeerHandler, PeerLink, PeerRequest, PeerTarget,
     frame::{MAX_FRAME_BYTES, decode_frame, encode_frame},
     packing::{pack, unpack},
+    reach::reach,
 };
 use async_trait::async_trait;
 use bytes::Bytes;
@@ -188,11 +189,10 @@
         mut queue: mpsc::Receiver<OutgoingFrame>,
     ) {
         let mut waiters = HashMap::new();
-        let opened = match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
-            Ok(Ok(stream)) => prepare(&stream).map(|()| stream).map_err(|e| e.to_string()),
-            Ok(Err(error)) => Err(error.to_string()),
-            Err(_) => Err("connect timed out".to_owned()),
-        };
+        let opened = reach(CONNECT_TIMEOUT, || TcpStream::connect(address)).await;
+        let opened = opened.and_then(|stream| {
+            prepare(&stream).map(|()| stream).map_err(|error| error.to_string())
+        });
         let was_opened = opened.is_ok();
         let reason = match opened {
             Ok(stream) => self.exchange(stream, &mut queue, &mut waiters).await,
