Start with an election timer of one tick that grows

Cause: a replica that had just started waited three to six ticks of 50 ms before it stood, although the pre-vote keeps it from disturbing a leader that lives.

Test: group_that_starts_again_has_a_leader_soon.

--- a/crates/consensus/src/core.rs
+++ b/crates/consensus/src/core.rs
@@ -16,8 +16,9 @@
     /// Ticks without a leader after which a follower stands; it adds a random share up to as much
     /// again. Also the time within which a leader must hear a quorum.
     pub election_ticks: u32,
-    /// The same until this replica has heard of a leader for the first time since its start. A
-    /// pre-vote keeps it from disturbing a leader that lives.
+    /// The same at the first time since the start of this replica; one tick more each time until
+    /// it has heard of a leader, since messages may take longer than that. A pre-vote keeps it from
+    /// disturbing a leader that lives.
     pub first_election_ticks: u32,
     /// The greatest number of entries in one message.
     pub max_batch: usize,
@@ -30,7 +31,7 @@
         Self {
             heartbeat_ticks: 2,
             election_ticks: 10,
-            first_election_ticks: 3,
+            first_election_ticks: 1,
             max_batch: 2048,
             seed: 0,
         }
@@ -90,6 +91,7 @@
     pub(crate) persisted: LogIndex,
     pub(crate) ticks_since_leader: u32,
     pub(crate) has_heard_leader: bool,
+    pub(crate) first_ticks: u32,
     pub(crate) election_deadline: u32,
     pub(crate) effects: Effects,
     rng: SmallRng,
@@ -111,6 +113,7 @@
         }
         let rng = SmallRng::seed_from_u64(settings.seed ^ id.0);
         let persisted = log.last_index();
+        let first_ticks = settings.first_election_ticks;
         let mut core = Self {
             id,
             settings,
@@ -125,6 +128,7 @@
             persisted,
             ticks_since_leader: 0,
             has_heard_leader: false,
+            first_ticks,
             election_deadline: 0,
             effects: Effects::default(),
             rng,
@@ -324,7 +328,7 @@
     pub(crate) fn reset_election_timer(&mut self) {
         let ticks = match self.has_heard_leader {
             true => self.settings.election_ticks,
-            false => self.settings.first_election_ticks,
+            false => self.first_ticks,
         };
         self.ticks_since_leader = 0;
         self.election_deadline = ticks + self.rng.random_range(0..=ticks);
--- a/crates/consensus/src/election.rs
+++ b/crates/consensus/src/election.rs
@@ -25,6 +25,7 @@
     }
 
     pub(crate) fn start_pre_vote(&mut self) {
+        self.first_ticks = (self.first_ticks + 1).min(self.settings.election_ticks);
         self.reset_election_timer();
         self.leader = None;
         let mut ballot = Ballot::default();
@@ -79,6 +80,7 @@
     }
 
     fn start_election(&mut self, transfer: bool) {
+        self.first_ticks = (self.first_ticks + 1).min(self.settings.election_ticks);
         self.reset_election_timer();
         self.leader = None;
         let term = Term(self.term().0 + 1);
--- a/crates/consensus/tests/election_timer.rs
+++ b/crates/consensus/tests/election_timer.rs
@@ -4,9 +4,15 @@
     Consensus, CoreSettings, Envelope, HardState, LogIndex, Member, MemberRole, Membership,
     Message, ReplicaId, ReplicaRole, Restored, SnapshotImage, Term,
 };
+use rand::{Rng, SeedableRng, rngs::SmallRng};
 use types::LogTime;
 
 fn started(seed: u64) -> Consensus {
+    restarted(1, 3, seed)
+}
+
+/// Returns one replica of a group, as it starts with what is on its disk.
+fn restarted(id: u64, count: u64, seed: u64) -> Consensus {
     let member = |id: u64| Member {
         id: ReplicaId(id),
         host: format!("core-{id}").parse().expect("name"),
@@ -17,12 +23,12 @@
         index: LogIndex(1),
         term: Term(1),
         time: LogTime::default(),
-        membership: Membership::new((1..=3).map(member).collect()),
+        membership: Membership::new((1..=count).map(member).collect()),
         state: Vec::new().into(),
     };
     let hard_state = HardState { term: Term(1), voted_for: None };
     let restored = Restored { hard_state, image: Some(image), entries: Vec::new() };
-    Consensus::new(ReplicaId(1), CoreSettings { seed, ..CoreSettings::default() }, restored)
+    Consensus::new(ReplicaId(id), CoreSettings { seed, ..CoreSettings::default() }, restored)
 }
 
 #[test]
@@ -56,3 +62,55 @@
         }
     }
 }
+
+/// Steps of simulated time in a tick.
+const STEPS: usize = 10;
+
+/// Starts all replicas of a group at steps drawn over two ticks, with messages that take one step,
+/// and returns the step at which the first one leads.
+fn step_of_first_leader(count: u64, seed: u64) -> Option<usize> {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut cores: Vec<_> = (1..=count)
+        .map(|id| (rng.random_range(0..2 * STEPS), restarted(id, count, seed)))
+        .collect();
+    let mut travelling: Vec<Envelope> = Vec::new();
+    for step in 0..40 * STEPS {
+        for message in std::mem::take(&mut travelling) {
+            let to = message.to.0 as usize - 1;
+            if cores[to].0 <= step {
+                cores[to].1.step(message);
+            }
+        }
+        for (start, core) in &mut cores {
+            if *start < step && (step - *start).is_multiple_of(STEPS) {
+                core.tick();
+            }
+            let mut effects = core.take_effects();
+            if let Some(entry) = effects.entries.last() {
+                core.persisted(entry.index);
+            }
+            travelling.append(&mut effects.messages);
+            if core.is_leader() {
+                return Some(step);
+            }
+        }
+    }
+    None
+}
+
+/// Found on days that end with a loss of power everywhere: a group whose replicas all start again
+/// waited three to six ticks before the first one stood.
+#[test]
+fn group_that_starts_again_has_a_leader_soon() {
+    for (count, seed) in [3, 5, 12].into_iter().flat_map(|count| (0..100).map(move |s| (count, s)))
+    {
+        let step = step_of_first_leader(count, seed).expect("a leader");
+        assert!(step <= 20 * STEPS, "{count} replicas, seed {seed}: leader at step {step}");
+    }
+    for count in [3, 5, 12] {
+        let mut steps: Vec<_> = (0..100).filter_map(|s| step_of_first_leader(count, s)).collect();
+        steps.sort_unstable();
+        let median = steps[steps.len() / 2];
+        assert!(median <= 4 * STEPS, "{count} replicas: half have a leader at step {median}");
+    }
+}
