Keep an entry's request for a view until a leader is known

Cause: an entry that asked before there was a leader was sent away and came back 50 to 200 ms later; the leader's first quorum round waited for its next tick too. Ruled out: the size of the view (small sites wait as long as grown ones). Replicas now keep such requests for up to 400 ms and start the round at once.

Test: request_that_comes_before_there_is_a_leader_is_answered_once_there_is.

--- a/crates/control/tests/group.rs
+++ b/crates/control/tests/group.rs
@@ -4,7 +4,9 @@
 use follow::LeaderFinder;
 use hawthornhill_control::{GroupKeeper, GroupSettings, seed_identity};
 use peer::{PeerAnswer, PeerHandler, PeerLink, PeerRequest, PeerTarget, StreamNode};
-use replica::{FileStore, ReplicaHandle, ReplicaSettings, ReplicaStatus, start_replica};
+use replica::{
+    FileStore, LEADER_WAIT, ReplicaHandle, ReplicaSettings, ReplicaStatus, start_replica,
+};
 use runtime::{EventTimeline, LogFormat, MetricsRegistry, TimerService, root_logger};
 use std::{
     net::SocketAddr,
@@ -55,6 +57,7 @@
             host: host.clone(),
             address,
             core: CoreSettings { seed: u64::from(address.port()), ..CoreSettings::default() },
+            leader_wait: LEADER_WAIT,
             link,
             timer: timer.clone(),
             timeline,
--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -10,7 +10,7 @@
 use peer::{PeerLink, PeerNode, PeerTarget, TlsMaterial};
 use policy::{AdmissionSettings, LatencySelector, LoadSettings};
 use rand::random;
-use replica::{FileStore, ReplicaSettings, start_replica};
+use replica::{FileStore, LEADER_WAIT, ReplicaSettings, start_replica};
 use runtime::{
     EventTimeline, Logger, MetricsRegistry, ProcessRole, ProcessSettings, TimerService, root_logger,
 };
@@ -113,6 +113,7 @@
             host: self.settings.name.clone(),
             address: self.settings.peer_address,
             core: CoreSettings { seed: random(), ..CoreSettings::default() },
+            leader_wait: LEADER_WAIT,
             link: self.link(),
             timer: self.timer.clone(),
             timeline: self.timeline.clone(),
--- a/crates/daemon/src/site.rs
+++ b/crates/daemon/src/site.rs
@@ -11,7 +11,7 @@
     BootFile, BootSettings, PlatformDialect, serve_control, serve_directory, serve_ready,
 };
 use rand::random;
-use replica::{FileStore, ReplicaHandle, ReplicaSettings, start_replica};
+use replica::{FileStore, LEADER_WAIT, ReplicaHandle, ReplicaSettings, start_replica};
 use runtime::{EventTimeline, LogFormat, Logger, MetricsRegistry, TimerService, root_logger};
 use slog::{error, info, warn};
 use std::{
@@ -188,6 +188,7 @@
             host: settings.host.clone(),
             address: settings.peer_address(),
             core: CoreSettings { seed: random(), ..CoreSettings::default() },
+            leader_wait: LEADER_WAIT,
             link: Arc::new(self.node.clone()),
             timer: self.timer.clone(),
             timeline: self.timeline.clone(),
--- a/crates/replica/src/driver.rs
+++ b/crates/replica/src/driver.rs
@@ -21,6 +21,7 @@
     ConsensusMessage, FreshnessAnswer, FreshnessRequest, PeerLink, PeerRequest, PeerTarget,
     SubmitAnswer,
 };
+use reads::ParkedFreshness;
 use runtime::{
     DecisionCounters, EventKind, EventTags, EventTimeline, Logger, ReplicaAddress, TimerService,
     wall_clock_ms,
@@ -51,6 +52,10 @@
 /// How long a stopping leader waits for its successor.
 const TRANSFER_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// How long a request of an entry waits for a leader to be known; less than entries wait for an
+/// answer, which is 600 ms.
+pub const LEADER_WAIT: Duration = Duration::from_millis(400);
+
 /// What a replica is started with.
 pub struct ReplicaSettings {
     /// Identity bound to the data folder.
@@ -61,6 +66,8 @@
     pub address: SocketAddr,
     /// Timing of the core.
     pub core: CoreSettings,
+    /// How long a request of an entry waits for a leader to be known, see [`LEADER_WAIT`].
+    pub leader_wait: Duration,
     /// Links to the other replicas.
     pub link: Arc<dyn PeerLink>,
     /// Timer service.
@@ -106,6 +113,7 @@
     commands: BTreeMap<LogIndex, PendingCommand>,
     freshness: HashMap<ReadToken, PendingFreshness>,
     ready_reads: Vec<ReadyRead>,
+    parked: Vec<ParkedFreshness>,
     next_token: u64,
     watch: EntryWatch,
     server_watch: ServerWatch,
@@ -169,6 +177,7 @@
             commands: BTreeMap::new(),
             freshness: HashMap::new(),
             ready_reads: Vec::new(),
+            parked: Vec::new(),
             next_token: 0,
             watch: EntryWatch::new(Instant::now()),
             server_watch: ServerWatch::new(Instant::now()),
@@ -310,6 +319,21 @@
         {
             return;
         }
+        loop {
+            if !self.carry_out_effects() {
+                return;
+            }
+            self.note_leadership();
+            if !self.resume_parked() {
+                break;
+            }
+        }
+        self.expire_parked(Instant::now());
+        self.make_snapshot();
+    }
+
+    /// Returns false if the disk refused.
+    fn carry_out_effects(&mut self) -> bool {
         loop {
             self.core.replicate();
             if std::mem::take(&mut self.round_is_due) {
@@ -317,14 +341,12 @@
             }
             let effects = self.core.take_effects();
             if effects.is_empty() {
-                break;
+                return true;
             }
             if !self.carry_out_batch(effects) {
-                return;
+                return false;
             }
         }
-        self.note_leadership();
-        self.make_snapshot();
     }
 
     /// Returns false if the disk refused, in which case the effects wait.
@@ -488,6 +510,7 @@
         for pending in std::mem::take(&mut self.freshness).into_values() {
             answer(pending.reply, FreshnessAnswer::NotLeader(None));
         }
+        self.expire_parked(Instant::now() + self.settings.leader_wait);
         self.ready_reads.clear();
     }
 }
--- a/crates/replica/src/driver/reads.rs
+++ b/crates/replica/src/driver/reads.rs
@@ -2,12 +2,18 @@
 
 use super::{PendingFreshness, ReplicaDriver, answer};
 use crate::entry_watch::EntryWatch;
-use consensus::ReadToken;
+use consensus::{LeaderHint, ReadToken};
 use peer::{FreshnessAnswer, FreshnessGrant, FreshnessRequest};
 use runtime::ReplicaAddress;
 use std::time::Instant;
 use tokio::sync::oneshot;
 
+/// A request that came while no leader was known.
+pub(super) struct ParkedFreshness {
+    until: Instant,
+    pending: PendingFreshness,
+}
+
 impl ReplicaDriver {
     pub(super) fn start_freshness(
         &mut self,
@@ -17,8 +23,13 @@
         let token = ReadToken(self.next_token);
         self.next_token += 1;
         if self.core.read(token).is_err() {
-            let hint = self.leader_address(self.core.leader());
-            answer(reply, FreshnessAnswer::NotLeader(hint));
+            let pending = PendingFreshness { request, reply };
+            if self.core.leader() == LeaderHint(None) {
+                let until = Instant::now() + self.settings.leader_wait;
+                self.parked.push(ParkedFreshness { until, pending });
+            } else {
+                self.refer(pending);
+            }
             return;
         }
         if let Some(entry) = &request.entry {
@@ -47,9 +58,33 @@
 
     pub(super) fn fail_freshness(&mut self, token: ReadToken) {
         if let Some(pending) = self.freshness.remove(&token) {
-            let hint = self.leader_address(self.core.leader());
-            answer(pending.reply, FreshnessAnswer::NotLeader(hint));
+            self.refer(pending);
+        }
+    }
+
+    /// Takes up the requests that wait for a leader, if one is known by now. Returns whether this
+    /// replica has any of them to serve.
+    pub(super) fn resume_parked(&mut self) -> bool {
+        if self.parked.is_empty() || self.core.leader() == LeaderHint(None) {
+            return false;
         }
+        for parked in std::mem::take(&mut self.parked) {
+            self.start_freshness(parked.pending.request, parked.pending.reply);
+        }
+        self.round_is_due = self.core.is_leader();
+        self.round_is_due
+    }
+
+    /// Answers the requests that have waited for a leader in vain.
+    pub(super) fn expire_parked(&mut self, now: Instant) {
+        for parked in self.parked.extract_if(.., |parked| parked.until <= now) {
+            answer(parked.pending.reply, FreshnessAnswer::NotLeader(None));
+        }
+    }
+
+    fn refer(&self, pending: PendingFreshness) {
+        let hint = self.leader_address(self.core.leader());
+        answer(pending.reply, FreshnessAnswer::NotLeader(hint));
     }
 
     pub(super) fn replica_addresses(&self) -> Vec<ReplicaAddress> {
--- a/crates/replica/src/lib.rs
+++ b/crates/replica/src/lib.rs
@@ -8,7 +8,7 @@
 mod status;
 mod store;
 
-pub use driver::{ReplicaSettings, start_replica};
+pub use driver::{LEADER_WAIT, ReplicaSettings, start_replica};
 pub use handle::{ReplicaHandle, ReplicaStopped};
 pub use status::{EntryStatus, MemberStatus, ReplicaStatus};
 pub use store::{FileStore, LogBatch, LogFile, ReplicaStore, StoreError};
--- a/crates/replica/tests/driver.rs
+++ b/crates/replica/tests/driver.rs
@@ -25,6 +25,9 @@
 };
 use uuid::Uuid;
 
+/// Requests in these tests wait for as long as an election takes.
+const LONG_WAIT: Duration = Duration::from_secs(60);
+
 struct Handler(ReplicaHandle);
 
 #[async_trait]
@@ -67,6 +70,7 @@
         host: host(number),
         address: address(number),
         core: CoreSettings { seed: number, ..CoreSettings::default() },
+        leader_wait: LONG_WAIT,
         link: switch.clone(),
         timer: TimerService::start(),
         timeline: EventTimeline::new("test"),
@@ -194,6 +198,20 @@
     assert_eq!(status.commit, cluster.nodes[new].handle.status().await.expect("runs").commit);
 }
 
+/// Found on days that end with a loss of power everywhere: entries that asked before there was a
+/// leader were sent away, and came back up to 200 ms after it was elected.
+#[tokio::test(flavor = "multi_thread")]
+async fn request_that_comes_before_there_is_a_leader_is_answered_once_there_is() {
+    let cluster = Cluster::start(3).await;
+    let ask = |index: usize| cluster.nodes[index].handle.freshness(freshness_request());
+    let answers = <[FreshnessAnswer; 3]>::from(tokio::join!(ask(0), ask(1), ask(2)));
+    let is_granted = |answer: &&FreshnessAnswer| matches!(answer, FreshnessAnswer::Granted(_));
+    let names_leader =
+        |answer: &&FreshnessAnswer| matches!(answer, FreshnessAnswer::NotLeader(Some(_)));
+    assert_eq!(answers.iter().filter(is_granted).count(), 1, "{answers:?}");
+    assert_eq!(answers.iter().filter(names_leader).count(), 2, "{answers:?}");
+}
+
 /// A store whose disk is full while the flag is set.
 struct FullStore {
     inner: FileStore,
--- a/crates/testkit/examples/bench_replicas.rs
+++ b/crates/testkit/examples/bench_replicas.rs
@@ -6,7 +6,7 @@
 use consensus::{CoreSettings, Member, MemberRole, ReplicaId};
 use hawthornhill_testkit::{MemoryNet, System, latency_histogram, pause};
 use peer::{PeerAnswer, PeerHandler, PeerRequest, SubmitAnswer};
-use replica::{FileStore, ReplicaHandle, ReplicaSettings, start_replica};
+use replica::{FileStore, LEADER_WAIT, ReplicaHandle, ReplicaSettings, start_replica};
 use runtime::{EventTimeline, MetricsRegistry, TimerService};
 use std::{
     net::SocketAddr,
@@ -42,6 +42,7 @@
         host: host.clone(),
         address,
         core: CoreSettings { seed: u64::from(number), ..CoreSettings::default() },
+        leader_wait: LEADER_WAIT,
         link: net.link(host),
         timer: TimerService::start(),
         timeline: EventTimeline::new("bench"),
