Let requests wait for the first view of an entry that has just started

Cause: after a loss of power everywhere the entries are back 0.1 to 0.5 s before their first view. They refused all requests of that time with a Retry-After of 250 to 500 ms; those callers were late. Ruled out: a shorter Retry-After (the entry cannot know when the view comes; callers would ask several times, each a request). Requests on a connection run one at a time while it is not known whether they may be repeated.

--- a/crates/daemon/src/site.rs
+++ b/crates/daemon/src/site.rs
@@ -10,6 +10,7 @@
 use platform::{
     BootFile, BootSettings, PlatformDialect, serve_control, serve_directory, serve_ready,
 };
+use policy::FirstRoutesTerms;
 use rand::random;
 use replica::{FileStore, LEADER_WAIT, ReplicaHandle, ReplicaSettings, start_replica};
 use runtime::{EventTimeline, LogFormat, Logger, MetricsRegistry, TimerService, root_logger};
@@ -154,6 +155,7 @@
         let gateway = GatewaySettings {
             info,
             budget: settings.budget,
+            first_routes: FirstRoutesTerms::default(),
             body_memory_bytes: settings.memory_bytes / BODY_MEMORY_SHARE,
             farewell: FAREWELL,
             stop_grace: settings.stop_grace.saturating_sub(FAREWELL + STOP_MARGIN),
--- a/crates/gateway/src/forwarder.rs
+++ b/crates/gateway/src/forwarder.rs
@@ -13,8 +13,8 @@
 use http::{HeaderMap, Method, StatusCode, Uri, header};
 use parking_lot::{Mutex, RwLock};
 use policy::{
-    BudgetTerms, CallerPatience, PlacementNeed, RoomNeed, SharedBudget, UsualWork, WaitRank,
-    plan_return,
+    BudgetTerms, CallerPatience, FirstRoutesTerms, PlacementNeed, RoomNeed, SharedBudget,
+    UsualWork, WaitRank, plan_return,
 };
 use runtime::{DecisionCounters, Histogram, Logger};
 use slog::info;
@@ -26,7 +26,10 @@
     sync::Arc,
     time::{Duration, Instant},
 };
-use tokio::time::{sleep, sleep_until, timeout_at};
+use tokio::{
+    sync::watch,
+    time::{sleep, sleep_until, timeout_at},
+};
 use types::{
     CallerLimits, ClusterView, PoolSpec, RouteSpec, RouteTable, RoutingDocument, ServerName,
     ServiceName,
@@ -78,7 +81,9 @@
     pub(crate) dialect: Arc<dyn WireDialect>,
     pub(crate) memory: Arc<BodyMemory>,
     pub(crate) view: Arc<RwLock<Arc<ClusterView>>>,
-    pub(crate) routes: RwLock<Option<Arc<InstalledRoutes>>>,
+    pub(crate) routes: watch::Sender<Option<Arc<InstalledRoutes>>>,
+    pub(crate) first_routes: FirstRoutesTerms,
+    pub(crate) started: Instant,
     pub(crate) budget: BudgetTerms,
     pub(crate) metrics: ForwardMetrics,
     pub(crate) logger: Logger,
@@ -153,28 +158,30 @@
         placer: ServerPlacer,
         view: Arc<RwLock<Arc<ClusterView>>>,
         budget: BudgetTerms,
+        first_routes: FirstRoutesTerms,
         metrics: ForwardMetrics,
         logger: Logger,
     ) -> Arc<Self> {
         let (dialect, memory) = (placer.dialect.clone(), placer.memory.clone());
-        let (routes, services) = (RwLock::default(), Mutex::default());
         Arc::new(Self {
             placer,
             dialect,
             memory,
             view,
-            routes,
+            routes: watch::Sender::new(None),
+            first_routes,
+            started: Instant::now(),
             budget,
             metrics,
             logger,
-            services,
+            services: Mutex::default(),
             patience: Mutex::default(),
         })
     }
 
     /// Returns the bounds on what callers may send at present.
     pub(crate) fn caller_limits(&self) -> CallerLimits {
-        let routes = self.routes.read();
+        let routes = self.routes.borrow();
         routes.as_ref().map_or_else(CallerLimits::default, |routes| routes.document.limits.clone())
     }
 
@@ -182,9 +189,11 @@
     /// repeated waits until those before it are answered, since their answers may close the
     /// connection, and the caller then takes it for not read.
     pub(crate) fn may_overlap(&self, request: &CallerRequest) -> bool {
-        let routes = self.routes.read().clone();
-        let route = routes.as_ref().and_then(|routes| find_route(routes, request));
-        route.is_none_or(|route| route.is_idempotent)
+        let routes = self.routes.borrow();
+        let Some(routes) = routes.as_ref() else {
+            return false;
+        };
+        find_route(routes, request).is_none_or(|route| route.is_idempotent)
     }
 
     /// Notes that bytes of a caller were refused before they were a whole request.
@@ -197,8 +206,7 @@
     /// Answers a request. Dropping the future of an idempotent request cancels it at its server.
     pub(crate) async fn forward(self: &Arc<Self>, request: CallerRequest) -> GatewayAnswer {
         let terms = self.dialect.request_terms(&request.headers);
-        let routes = self.routes.read().clone();
-        let Some(routes) = routes else {
+        let Some(routes) = self.known_routes(&terms, request.arrived).await else {
             let answer = GatewayAnswer::refused("no routes are known yet", no_routes_wait());
             return self.finish_unrouted(&terms, "no-routes", answer);
         };
@@ -245,6 +253,22 @@
         })
     }
 
+    /// Returns the routes in force. An entry that has just started waits for its first ones.
+    async fn known_routes(
+        &self,
+        terms: &RequestTerms,
+        arrived: Instant,
+    ) -> Option<Arc<InstalledRoutes>> {
+        let held = self.routes.borrow().clone();
+        if held.is_some() {
+            return held;
+        }
+        let end = self.first_routes.wait_until(self.started, arrived, terms.time_allowed)?;
+        let mut routes = self.routes.subscribe();
+        let known = timeout_at(end.into(), routes.wait_for(Option::is_some)).await;
+        known.ok()?.ok()?.clone()
+    }
+
     async fn serve(&self, call: &ForwardedCall) -> GatewayAnswer {
         let end = self.run_attempts(call).await;
         let (answer, outcome) = self.final_answer(call, end);
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -10,7 +10,7 @@
 };
 use follow::{FreshnessKeeper, KeeperTools, LeaderFinder, ViewHolder};
 use parking_lot::RwLock;
-use policy::{BudgetTerms, FreshnessGate};
+use policy::{BudgetTerms, FirstRoutesTerms, FreshnessGate};
 use runtime::{EventKind, EventTags, EventTimeline, Logger, MetricsRegistry, TimerService};
 use slog::info;
 use std::{
@@ -36,6 +36,8 @@
     pub info: EntryInfo,
     /// The budget of repeated sends of all entries together.
     pub budget: BudgetTerms,
+    /// How long requests wait for first routes after a start.
+    pub first_routes: FirstRoutesTerms,
     /// Bytes of bodies that the entry holds at the same time.
     pub body_memory_bytes: u64,
     /// How long a stopping entry still takes connections, for callers that do not know yet.
@@ -97,13 +99,13 @@
 
     fn install(&self, view: Arc<ClusterView>) {
         self.table.install(&view);
-        let held = self.forwarder.routes.read().as_ref().map(|routes| routes.document.version);
+        let held = self.forwarder.routes.borrow().as_ref().map(|routes| routes.document.version);
         if let Some(document) = view.routing()
             && Some(document.version) != held
         {
             let table = RouteTable::new(document);
             let routes = InstalledRoutes { document: document.clone(), table };
-            *self.forwarder.routes.write() = Some(Arc::new(routes));
+            self.forwarder.routes.send_replace(Some(Arc::new(routes)));
         }
         *self.view.write() = view;
     }
@@ -146,6 +148,7 @@
             placer,
             view.clone(),
             settings.budget,
+            settings.first_routes,
             forward_metrics,
             logger.clone(),
         );
@@ -177,7 +180,7 @@
 
     /// Says whether callers may be sent here: routes are known, and no stop has begun.
     pub fn is_ready(&self) -> bool {
-        self.holder.forwarder.routes.read().is_some() && *self.stop.borrow() == StopStage::Serving
+        self.holder.forwarder.routes.borrow().is_some() && *self.stop.borrow() == StopStage::Serving
     }
 
     /// Returns the view of this entry.
--- a/crates/gateway/tests/forwarding.rs
+++ b/crates/gateway/tests/forwarding.rs
@@ -4,6 +4,7 @@
 
 use harness::{Script, ScriptedServer, TestGateway, announcement, routing};
 use http::StatusCode;
+use policy::FirstRoutesTerms;
 use std::sync::atomic::Ordering;
 use std::{
     sync::Arc,
@@ -238,3 +239,30 @@
     assert!(asked < 40 * 2, "cold servers were asked {asked} times");
     assert!(servers[8].runs() >= 20, "{}", servers[8].runs());
 }
+
+/// Found on days that end with a loss of power everywhere: entries were back 0.4 s before the first
+/// view and sent all callers away, who came back later than their answer could have been there.
+#[tokio::test]
+async fn request_that_comes_before_the_first_view_is_served_once_it_is_there() {
+    let server = ScriptedServer::start("sound", "a", Script::Answer(200, 0)).await;
+    let minute = Duration::from_secs(60);
+    let first_routes = FirstRoutesTerms { expected_within: minute, max_wait: minute };
+    let gateway = TestGateway::start_empty(first_routes).await;
+    let publish = async {
+        sleep(Duration::from_millis(100)).await;
+        gateway.publish(routing(1, 2), &[&server]);
+    };
+    let request = gateway.send_allowing(minute, "GET", "/read/x", "r1");
+    let (answer, ()) = tokio::join!(request, publish);
+    assert_eq!((answer.status, answer.body.as_str()), (StatusCode::OK, "sound"));
+}
+
+#[tokio::test]
+async fn entry_that_stays_without_a_view_refuses_at_once_and_says_when_to_come_back() {
+    let first_routes =
+        FirstRoutesTerms { expected_within: Duration::ZERO, ..FirstRoutesTerms::default() };
+    let gateway = TestGateway::start_empty(first_routes).await;
+    let answer = gateway.send("GET", "/read/x", "r1").await;
+    assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert!(answer.headers.contains_key("retry-after"), "{:?}", answer.headers);
+}
--- a/crates/gateway/tests/harness/mod.rs
+++ b/crates/gateway/tests/harness/mod.rs
@@ -16,7 +16,7 @@
 use peer::{
     FreshnessAnswer, FreshnessGrant, PeerAnswer, PeerError, PeerLink, PeerRequest, PeerTarget,
 };
-use policy::{BudgetTerms, ServerLoad};
+use policy::{BudgetTerms, FirstRoutesTerms, ServerLoad};
 use runtime::{EventTimeline, LogFormat, MetricsRegistry, TimerService, root_logger};
 use std::{
     net::SocketAddr,
@@ -294,6 +294,26 @@
 impl TestGateway {
     /// Starts an entry in the failure domain `a` and waits until it is ready.
     pub async fn start(document: RoutingDocument, servers: &[&Arc<ScriptedServer>]) -> Self {
+        let gateway = Self::start_empty(FirstRoutesTerms::default()).await;
+        gateway.publish(document, servers);
+        while !gateway.node.is_ready() {
+            sleep(Duration::from_millis(5)).await;
+        }
+        gateway
+    }
+
+    /// Puts routes and servers into force.
+    pub fn publish(&self, document: RoutingDocument, servers: &[&Arc<ScriptedServer>]) {
+        let mut state = self.replicas.state.lock();
+        for server in servers {
+            let announcement = announcement(server, ServerState::Ready, 1);
+            state.apply(LogTime(1), &Command::Announce(Arc::new(announcement)));
+        }
+        state.apply(LogTime(1), &Command::PutRouting(Arc::new(document), "".into()));
+    }
+
+    /// Starts an entry whose replicas know nothing yet.
+    pub async fn start_empty(first_routes: FirstRoutesTerms) -> Self {
         let probe = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
         let address = probe.local_addr().expect("bound");
         drop(probe);
@@ -309,17 +329,13 @@
             is_steward: false,
         };
         let mut state = ClusterState::default();
-        state.apply(LogTime(1), &Command::PutRouting(Arc::new(document), "".into()));
         state.apply(LogTime(1), &Command::PutEntry(info.clone()));
-        for server in servers {
-            let announcement = announcement(server, ServerState::Ready, 1);
-            state.apply(LogTime(1), &Command::Announce(Arc::new(announcement)));
-        }
         let replicas = Arc::new(FixedReplicas { state: Mutex::new(state) });
         let target = PeerTarget { host: "core-1".parse().expect("name"), address };
         let settings = GatewaySettings {
             info,
             budget: BudgetTerms { slack: 100, ..BudgetTerms::default() },
+            first_routes,
             body_memory_bytes: 64 * 1024 * 1024,
             farewell: Duration::from_millis(200),
             stop_grace: Duration::from_secs(5),
@@ -333,14 +349,22 @@
             timer: TimerService::start(),
         };
         let node = GatewayNode::start(settings, tools).await.expect("the address is free");
-        while !node.is_ready() {
-            sleep(Duration::from_millis(5)).await;
-        }
         Self { node, replicas, address }
     }
 
     /// Sends one request on a fresh connection.
     pub async fn send(&self, method: &str, path: &str, id: &str) -> TestAnswer {
+        self.send_allowing(Duration::from_millis(1_500), method, path, id).await
+    }
+
+    /// Sends one request that states how long its caller waits.
+    pub async fn send_allowing(
+        &self,
+        allowed: Duration,
+        method: &str,
+        path: &str,
+        id: &str,
+    ) -> TestAnswer {
         let stream = TcpStream::connect(self.address).await.expect("the entry listens");
         let (mut sender, connection) =
             http1::handshake(TokioIo::new(stream)).await.expect("a connection");
@@ -350,7 +374,7 @@
             .uri(path)
             .header("host", "shop.example")
             .header("x-id", id)
-            .header("x-ms", "1500")
+            .header("x-ms", allowed.as_millis().to_string())
             .body(Full::new(Bytes::new()))
             .expect("a valid request");
         let response = sender.send_request(request).await.expect("an answer");
