Apply changed bounds on requests to connections that are open

Cause: a caller's connection copied the bounds on head, body and times when it was accepted and kept them until its end; one that was accepted before the first view kept the defaults. Seen when reading how requests meet an entry without routes. Ruled out: bounds read once a message of the dialect (they are parts of the routing document). The bounds are now read for each request. Test: changed_bounds_hold_on_connections_that_are_open, failing before.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -184,6 +184,7 @@
     /// it is not there in full yet, or was refused.
     async fn next_request(&mut self) -> io::Result<Option<(CallerRequest, bool)>> {
         if self.partial.is_none() && !self.buffer.is_empty() {
+            self.limits = self.forwarder.caller_limits();
             self.read_head().await?;
         }
         let Some(mut partial) = self.partial.take() else {
--- a/crates/gateway/tests/framing.rs
+++ b/crates/gateway/tests/framing.rs
@@ -142,3 +142,26 @@
     assert_eq!(text.matches("HTTP/1.1 200").count(), 2, "{text:?}");
     assert_eq!(text.matches("\r\n\r\ns1").count(), 1, "{text:?}");
 }
+
+/// A connection that was open before a change of the bounds kept the former ones until its end, and
+/// one that was opened before the first view the defaults.
+#[tokio::test]
+async fn changed_bounds_hold_on_connections_that_are_open() {
+    let (server, gateway) = start(CallerLimits::default(), 0).await;
+    let mut caller = TcpStream::connect(gateway.address).await.expect("the entry listens");
+    caller.write_all(get("r1").as_bytes()).await.expect("sent");
+    let mut buffer = [0; 8192];
+    let count = caller.read(&mut buffer).await.expect("an answer");
+    assert!(String::from_utf8_lossy(&buffer[..count]).starts_with("HTTP/1.1 200"));
+    let mut document = routing(2, 1);
+    document.limits.max_head_bytes = 256;
+    gateway.publish(document, &[&server]);
+    while gateway.node.view().routing_version().0 < 2 {
+        sleep(Duration::from_millis(5)).await;
+    }
+    let large = get("r2").replace("x-ms", &format!("x-pad: {}\r\nx-ms", "a".repeat(300)));
+    caller.write_all(large.as_bytes()).await.expect("sent");
+    let count = caller.read(&mut buffer).await.expect("an answer");
+    assert!(String::from_utf8_lossy(&buffer[..count]).starts_with("HTTP/1.1 431"));
+    assert_eq!(server.runs(), 1);
+}
