Let callers keep directory answers for 5 s instead of 2

Cause: a caller whose answer has run out asks up to three directory nodes for 1 s each before it uses the old one. The farewell of a stopping entry stays at 2.3 s: a caller that meets a stopped entry goes on to the next address at once.

--- a/crates/control/src/directory.rs
+++ b/crates/control/src/directory.rs
@@ -3,9 +3,10 @@
 use std::{net::SocketAddr, time::Duration};
 use types::{ClusterView, DomainName, EntryInfo};
 
-/// How long callers may keep an answer of the directory. A stopping entry takes connections for a
-/// little longer.
-pub const DIRECTORY_MAX_AGE: Duration = Duration::from_secs(2);
+/// How long callers may keep an answer of the directory; the longest that counts on the platform. A
+/// caller that cannot reach the directory waits for it up to 3 s before it uses an old answer, and
+/// one that meets an entry that has stopped goes on to the next at once.
+pub const DIRECTORY_MAX_AGE: Duration = Duration::from_secs(5);
 /// The fewest entries of a caller's own failure domain that are named alone. With fewer, a caller
 /// whose only entry fails would have nowhere to go until it asks again.
 const MIN_LOCAL_ENTRIES: usize = 2;
--- a/crates/daemon/src/site.rs
+++ b/crates/daemon/src/site.rs
@@ -3,7 +3,7 @@
 use crate::{handler::RoleHandler, metrics_page::serve_metrics};
 use anyhow::{Context, Result};
 use consensus::{CoreSettings, ReplicaId};
-use control::{DIRECTORY_MAX_AGE, GroupKeeper, GroupSettings, ReplicaControl, seed_identity};
+use control::{GroupKeeper, GroupSettings, ReplicaControl, seed_identity};
 use follow::LeaderFinder;
 use gateway::{GatewayNode, GatewaySettings, GatewayTools};
 use peer::{PeerLink, PeerTarget, StreamNode};
@@ -25,9 +25,9 @@
 
 /// Port of the metrics page; `deploy/system.toml` names it too.
 const METRICS_PORT: u16 = 9464;
-/// How long a stopping entry still takes connections: until callers have asked the directory again,
-/// and the directory had heard of the stop when they did.
-const FAREWELL: Duration = DIRECTORY_MAX_AGE.saturating_add(Duration::from_millis(300));
+/// How long a stopping entry still takes connections: until the replicas and all entries have heard
+/// of the stop, and callers that asked before it have mostly begun new connections elsewhere.
+const FAREWELL: Duration = Duration::from_millis(2_300);
 /// Time kept between the end of the last request and the kill that follows a planned stop.
 const STOP_MARGIN: Duration = Duration::from_millis(500);
 /// Share of an entry's memory for bodies of requests and answers.
