Answer directory calls at entries too

Cause: with all replicas off, callers wait up to 3 s for three directory nodes before they use an old answer. Entries hold the same view and are many. Ruled out: the directory at entries alone (replicas answer while entries restart).

The directory's contract is tested in platform/tests/adapter.rs and control/tests/membership.rs.

--- a/crates/control/src/directory.rs
+++ b/crates/control/src/directory.rs
@@ -11,6 +11,12 @@
 /// whose only entry fails would have nowhere to go until it asks again.
 const MIN_LOCAL_ENTRIES: usize = 2;
 
+/// Tells callers which entries to use.
+pub trait EntryDirectory: Send + Sync {
+    /// Returns the addresses of entries for a caller in a failure domain. They may be stale.
+    fn entries_for(&self, caller_domain: Option<&DomainName>, limit: usize) -> Vec<SocketAddr>;
+}
+
 /// Returns the addresses of at most `limit` serving entries, those of the caller's failure domain
 /// alone where there are enough of them.
 pub fn directory_entries(
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -10,7 +10,7 @@
 mod plane;
 mod sightings;
 
-pub use directory::{DIRECTORY_MAX_AGE, directory_entries};
+pub use directory::{DIRECTORY_MAX_AGE, EntryDirectory, directory_entries};
 pub use error::ControlError;
 pub use group::{GroupKeeper, GroupSettings, seed_identity};
 pub use membership::{MemberHealth, plan_member_change};
--- a/crates/control/src/plane.rs
+++ b/crates/control/src/plane.rs
@@ -1,6 +1,6 @@
 //! The control plane at its border, and its implementation over a replica.
 
-use crate::{ControlError, directory_entries, sightings::SightingBatch};
+use crate::{ControlError, EntryDirectory, directory_entries, sightings::SightingBatch};
 use async_trait::async_trait;
 use follow::{LeaderFinder, SubmitResult};
 use peer::{PeerLink, SubmitAnswer};
@@ -50,9 +50,6 @@
 
     /// Takes a failure domain out of service (`true`) or brings it back.
     async fn set_drain(&self, domain: DomainName, is_drained: bool) -> Result<(), ControlError>;
-
-    /// Returns the addresses of entries for a caller in a failure domain. They may be stale.
-    fn entries_for(&self, caller_domain: Option<&DomainName>, limit: usize) -> Vec<SocketAddr>;
 }
 
 /// The control plane of a replica: decides through the leader, wherever that is.
@@ -240,7 +237,9 @@
             "outcome" => outcome);
         result
     }
+}
 
+impl EntryDirectory for ReplicaControl {
     fn entries_for(&self, caller_domain: Option<&DomainName>, limit: usize) -> Vec<SocketAddr> {
         directory_entries(&self.replica.view(), caller_domain, limit)
     }
--- a/crates/daemon/src/site.rs
+++ b/crates/daemon/src/site.rs
@@ -3,7 +3,9 @@
 use crate::{handler::RoleHandler, metrics_page::serve_metrics};
 use anyhow::{Context, Result};
 use consensus::{CoreSettings, ReplicaId};
-use control::{GroupKeeper, GroupSettings, ReplicaControl, seed_identity};
+use control::{
+    EntryDirectory, GroupKeeper, GroupSettings, ReplicaControl, directory_entries, seed_identity,
+};
 use follow::LeaderFinder;
 use gateway::{GatewayNode, GatewaySettings, GatewayTools};
 use peer::{PeerLink, PeerTarget, StreamNode};
@@ -21,7 +23,7 @@
     time::Duration,
 };
 use tokio::{net::TcpListener, time::sleep};
-use types::{EntryIncarnation, EntryInfo};
+use types::{DomainName, EntryIncarnation, EntryInfo};
 
 /// Port of the metrics page; `deploy/system.toml` names it too.
 const METRICS_PORT: u16 = 9464;
@@ -174,6 +176,10 @@
             let is_ready = Arc::new(move || node.is_ready());
             tokio::spawn(serve_ready(listen(address).await?, is_ready));
         }
+        if let Some(address) = settings.listen.directory {
+            let directory = Arc::new(EntryListing(node.clone()));
+            tokio::spawn(serve_directory(listen(address).await?, directory));
+        }
         Ok(node)
     }
 
@@ -229,6 +235,15 @@
     }
 }
 
+/// The directory of an entry, from the view that it holds.
+struct EntryListing(Arc<GatewayNode>);
+
+impl EntryDirectory for EntryListing {
+    fn entries_for(&self, caller_domain: Option<&DomainName>, limit: usize) -> Vec<SocketAddr> {
+        directory_entries(&self.0.view(), caller_domain, limit)
+    }
+}
+
 fn peer_targets(seeds: &[SocketAddr]) -> Vec<PeerTarget> {
     let host = |address: &SocketAddr| {
         let text = address.ip().to_string().replace(':', "-");
