Send callers shed by servers with free slots back at once

Ruled out: more repeats by the entry (the budget is the users' bound). Retry-After now says 50 to 100 ms where the server that refused had a free slot.

Tests: caller_shed_by_a_server_with_room_comes_back_at_once (policy), and one in gateway/tests/forwarding.rs.

--- a/crates/gateway/src/forwarder.rs
+++ b/crates/gateway/src/forwarder.rs
@@ -13,8 +13,8 @@
 use http::{HeaderMap, Method, StatusCode, Uri, header};
 use parking_lot::{Mutex, RwLock};
 use policy::{
-    BudgetTerms, CallerPatience, FirstRoutesTerms, PlacementNeed, RoomNeed, SharedBudget,
-    UsualWork, WaitRank, plan_return,
+    BudgetTerms, CallerPatience, FirstRoutesTerms, PlacementNeed, RoomNeed, RoomOutlook,
+    SharedBudget, UsualWork, WaitRank, plan_return,
 };
 use runtime::{DecisionCounters, Histogram, Logger};
 use slog::info;
@@ -151,6 +151,8 @@
     text: String,
     asked: usize,
     may_have_run: bool,
+    /// The server that was tried last had a free slot when it was asked.
+    had_room: bool,
 }
 
 impl RequestForwarder {
@@ -471,6 +473,7 @@
         }
         self.metrics.attempts.count(end.name());
         let mut trail = call.trail.lock();
+        trail.had_room = load.running < load.slots;
         trail.may_have_run |= !matches!(end, AttemptEnd::NotRun(_));
         let reason = match &end {
             AttemptEnd::NotRun(reason) | AttemptEnd::Unknown(reason) => reason.as_str(),
@@ -504,13 +507,18 @@
         call: &ForwardedCall,
         end: Result<AttemptEnd, PlaceError>,
     ) -> (GatewayAnswer, &'static str) {
-        let may_have_run = call.trail.lock().may_have_run;
-        let wait = || plan_return(self.usual_work(call), rand::random());
+        let (may_have_run, had_room) = {
+            let trail = call.trail.lock();
+            (trail.may_have_run, trail.had_room)
+        };
+        let until_slot = RoomOutlook::After(self.usual_work(call));
+        let wait = |outlook| plan_return(outlook, rand::random());
         match end {
             Ok(AttemptEnd::Answered(answer)) => (self.without_false_promise(answer), "answered"),
             Ok(AttemptEnd::Failed(answer)) => (self.without_false_promise(answer), "server-failed"),
             Ok(AttemptEnd::NotRun(reason)) if !may_have_run => {
-                (GatewayAnswer::refused(&format!("not run: {reason}"), wait()), "not-run")
+                let outlook = if had_room { RoomOutlook::Now } else { until_slot };
+                (GatewayAnswer::refused(&format!("not run: {reason}"), wait(outlook)), "not-run")
             }
             Ok(AttemptEnd::NotRun(reason) | AttemptEnd::Unknown(reason)) => {
                 let reason = format!("it is not known whether the request ran: {reason}");
@@ -526,7 +534,7 @@
                     PlaceError::NoneAnswered => ("no server answers", "none-answered"),
                     PlaceError::Full => ("all servers are full", "full"),
                 };
-                (GatewayAnswer::refused(reason, wait()), outcome)
+                (GatewayAnswer::refused(reason, wait(until_slot)), outcome)
             }
         }
     }
@@ -581,7 +589,7 @@
 
 /// When to come back while this entry holds no routes yet.
 fn no_routes_wait() -> Duration {
-    plan_return(NO_ROUTES_WAIT, rand::random())
+    plan_return(RoomOutlook::After(NO_ROUTES_WAIT), rand::random())
 }
 
 /// Returns the usual time of a route's work before any answer.
--- a/crates/gateway/tests/forwarding.rs
+++ b/crates/gateway/tests/forwarding.rs
@@ -266,3 +266,13 @@
     assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
     assert!(answer.headers.contains_key("retry-after"), "{:?}", answer.headers);
 }
+
+#[tokio::test]
+async fn caller_shed_by_a_server_with_free_slots_is_told_to_come_back_at_once() {
+    let shedding = ScriptedServer::start("shedding", "a", Script::NotRun).await;
+    let gateway = TestGateway::start(routing(1, 1), &[&shedding]).await;
+    let answer = gateway.send("GET", "/read/x", "r1").await;
+    assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+    let wait: f64 = answer.headers["retry-after"].to_str().expect("text").parse().expect("s");
+    assert!(wait > 0.0 && wait <= 0.1, "{wait}");
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -38,7 +38,7 @@
 pub use placement::{PlacementCandidate, PlacementNeed, RoomNeed, ServerLoad, cheapest_candidate};
 pub use probe_budget::ProbeBudget;
 pub use retry_budget::RetryBudget;
-pub use return_plan::plan_return;
+pub use return_plan::{RoomOutlook, plan_return};
 pub use selection::{CandidateLoad, LatencySelector, ServerSelector};
 pub use service_load::{
     LoadSettings, PickResult, PickedServer, ReleaseNotes, ServerView, ServiceLoad, StatedLoad,
--- a/crates/policy/tests/placement.rs
+++ b/crates/policy/tests/placement.rs
@@ -3,8 +3,8 @@
 
 use hawthornhill_policy::{
     BudgetTerms, COLD_OWNERS, CallerPatience, ColdAllowance, PlacementCandidate, PlacementNeed,
-    RoomNeed, ServerLoad, SharedBudget, UsualWork, WaitRank, WaitingLine, cheapest_candidate,
-    owns_cold_server, plan_return,
+    RoomNeed, RoomOutlook, ServerLoad, SharedBudget, UsualWork, WaitRank, WaitingLine,
+    cheapest_candidate, owns_cold_server, plan_return,
 };
 use std::time::{Duration, Instant};
 use types::EntryName;
@@ -191,10 +191,12 @@
 #[test]
 fn callers_refused_together_do_not_return_together() {
     let until_room = Duration::from_millis(120);
-    assert_eq!(plan_return(until_room, 0.0), until_room);
-    assert_eq!(plan_return(until_room, 1.0), 2 * until_room);
-    assert!(plan_return(Duration::ZERO, 0.0) > Duration::ZERO);
-    assert!(plan_return(Duration::from_secs(60), 1.0) <= Duration::from_secs(2));
+    assert_eq!(plan_return(RoomOutlook::After(until_room), 0.0), until_room);
+    assert_eq!(plan_return(RoomOutlook::After(until_room), 1.0), 2 * until_room);
+    assert!(plan_return(RoomOutlook::After(Duration::ZERO), 0.0) > Duration::ZERO);
+    assert!(
+        plan_return(RoomOutlook::After(Duration::from_secs(60)), 1.0) <= Duration::from_secs(2)
+    );
 }
 
 /// An entry that sees one request a second must not take a slow spell for the usual time.
@@ -212,3 +214,13 @@
     (0..60).for_each(|_| usual.note(Duration::from_millis(300)));
     assert_eq!(usual.get(), Duration::from_millis(300));
 }
+
+/// Servers that shed a share of what they get at random, with free slots: a caller that comes back at
+/// once finds room within its target; one that waits for a slot to become free is late.
+#[test]
+fn caller_shed_by_a_server_with_room_comes_back_at_once() {
+    for draw in [0.0, 0.5, 1.0] {
+        let wait = plan_return(RoomOutlook::Now, draw);
+        assert!(wait > Duration::ZERO && wait <= Duration::from_millis(100), "{wait:?}");
+    }
+}
