--- a/crates/caller/src/guide.rs
+++ b/crates/caller/src/directory.rs
@@ -1,4 +1,4 @@
-//! The guide: tells callers which entries to use for a service.
+//! The directory: tells callers which entries to use for a service.
 
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -6,16 +6,16 @@
 
 /// The answer of `GET /v1/entries/{service}`.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct GuideAnswer {
+pub struct DirectoryAnswer {
     /// Entries, best first.
-    pub entries: Vec<GuideEntry>,
+    pub entries: Vec<DirectoryEntry>,
     /// How long the answer may be kept, in seconds.
     pub max_age_s: u64,
 }
 
 /// One entry.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct GuideEntry {
+pub struct DirectoryEntry {
     /// Name.
     pub name: EntryName,
     /// Where to connect.
--- a/crates/caller/src/intake.rs
+++ b/crates/caller/src/intake.rs
@@ -1,7 +1,7 @@
-//! Requests of callers: `/v1/entries/{service}` asks the guide, `/v1/call/{service}/{path}` is
+//! Requests of callers: `/v1/entries/{service}` asks the directory, `/v1/call/{service}/{path}` is
 //! passed on to a server of the service.
 
-use crate::GuideAnswer;
+use crate::DirectoryAnswer;
 use async_trait::async_trait;
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode};
@@ -13,7 +13,7 @@
 use types::{CallAnswer, CallOutcome, CallRequest, HeaderField, ServiceName, header};
 use uuid::Uuid;
 
-const GUIDE_PREFIX: &str = "/v1/entries/";
+const DIRECTORY_PREFIX: &str = "/v1/entries/";
 const CALL_PREFIX: &str = "/v1/call/";
 /// The longest time that a request may ask for, in milliseconds.
 const MAX_DEADLINE_MS: u32 = 120_000;
@@ -44,7 +44,7 @@
     async fn call(&self, request: CallRequest) -> CallAnswer;
 
     /// Returns the entries for a service.
-    fn guide(&self, service: &ServiceName) -> GuideAnswer;
+    fn directory(&self, service: &ServiceName) -> DirectoryAnswer;
 
     /// Returns the addresses of other entries.
     fn other_entries(&self, service: &ServiceName) -> Vec<SocketAddr>;
@@ -79,8 +79,8 @@
     counters: &DecisionCounters,
 ) -> Response<Full<Bytes>> {
     let path = request.uri().path();
-    if let Some(service) = path.strip_prefix(GUIDE_PREFIX) {
-        return answer_guide(service, request.method(), handler, counters);
+    if let Some(service) = path.strip_prefix(DIRECTORY_PREFIX) {
+        return answer_directory(service, request.method(), handler, counters);
     }
     let Some(rest) = path.strip_prefix(CALL_PREFIX) else {
         counters.count("request-invalid");
@@ -106,28 +106,28 @@
     build_response(answer, id, &service, handler)
 }
 
-fn answer_guide(
+fn answer_directory(
     service: &str,
     method: &Method,
     handler: &dyn CallHandler,
     counters: &DecisionCounters,
 ) -> Response<Full<Bytes>> {
     if method != Method::GET {
-        return refuse(StatusCode::METHOD_NOT_ALLOWED, "ask the guide by GET");
+        return refuse(StatusCode::METHOD_NOT_ALLOWED, "ask the directory by GET");
     }
     let service = match service.parse::<ServiceName>() {
         Ok(service) => service,
         Err(error) => return refuse(StatusCode::BAD_REQUEST, &format!("service: {error}")),
     };
-    counters.count("guide-answered");
-    let guide = handler.guide(&service);
-    if guide.entries.is_empty() {
+    counters.count("directory-answered");
+    let directory = handler.directory(&service);
+    if directory.entries.is_empty() {
         let mut response = refuse(StatusCode::SERVICE_UNAVAILABLE, "no entry serves yet");
         insert(response.headers_mut(), "retry-after", "1");
         return response;
     }
-    let max_age = format!("max-age={}", guide.max_age_s);
-    let body = serde_json::to_vec(&guide).unwrap_or_default();
+    let max_age = format!("max-age={}", directory.max_age_s);
+    let body = serde_json::to_vec(&directory).unwrap_or_default();
     let mut response = Response::new(Full::new(Bytes::from(body)));
     insert(response.headers_mut(), "content-type", "application/json");
     insert(response.headers_mut(), "cache-control", &max_age);
--- a/crates/caller/src/lib.rs
+++ b/crates/caller/src/lib.rs
@@ -1,9 +1,9 @@
-//! The peer "caller": the guide, the intake of requests over HTTP/1.1, and the graceful close.
+//! The peer "caller": the directory, the intake of requests over HTTP/1.1, and the graceful close.
 
-mod guide;
+mod directory;
 mod intake;
 mod listener;
 
-pub use guide::{GuideAnswer, GuideEntry};
+pub use directory::{DirectoryAnswer, DirectoryEntry};
 pub use intake::{CallHandler, IntakeSettings};
 pub use listener::{CallerListener, IntakeError};
--- a/crates/control/tests/membership.rs
+++ b/crates/control/tests/membership.rs
@@ -73,7 +73,7 @@
             peer_address: address,
             operator_address: address,
             serving,
-            is_steward: false,
+            owns_shards: false,
         };
         state.apply(LogTime(0), &Command::PutEntry(info));
     };
--- a/crates/ctl/src/replicas.rs
+++ b/crates/ctl/src/replicas.rs
@@ -7,7 +7,7 @@
 
 /// The longest wait for a new replica to catch up.
 const CATCH_UP_LIMIT: Duration = Duration::from_secs(60);
-/// Pause between two tries to make a learner a voter.
+/// Pause between two attempts to make a learner a voter.
 const CATCH_UP_PAUSE: Duration = Duration::from_millis(200);
 
 /// Carries out a command on the set of replicas.
--- a/crates/ctl/src/show.rs
+++ b/crates/ctl/src/show.rs
@@ -124,8 +124,8 @@
     for row in servers.iter().flat_map(|entry| &entry.servers) {
         let stage = format!("{:?}", row.stage).to_lowercase();
         println!(
-            "  {:<16} {:<24} {:<14} {stage:<8} steward {}",
-            row.service, row.server, row.domain, row.steward
+            "  {:<16} {:<24} {:<14} {stage:<8} owner {}",
+            row.service, row.server, row.domain, row.owner
         );
     }
     if let Some(view) = &report.view {
--- a/crates/ctl/tests/cli.rs
+++ b/crates/ctl/tests/cli.rs
@@ -215,7 +215,7 @@
     let _najem = fixture.server("najem-1", "najem", "kranj").await;
     let entries = [fixture.settings[0].caller_address, fixture.settings[1].caller_address];
 
-    // A booking is cold everywhere, so one of the two entries hands it to the steward.
+    // A booking is cold everywhere, so one of the two entries hands it to the owner.
     let mut booked = Vec::new();
     for entry in entries {
         let key = new_key();
@@ -231,19 +231,19 @@
         .await;
         booked.push(key);
     }
-    let mut is_handed_over = false;
+    let mut is_forwarded = false;
     for key in &booked {
         let (code, output) = fixture.ctl(&["timeline", "--request", key]).await;
         assert_eq!(code, 0, "{output}");
         let place = |kind: &str| output.find(kind);
         assert!(place("call-received") < place("claim-decided"), "{output}");
         assert!(place("claim-decided") < place("call-sent"), "{output}");
-        if output.contains("call-handed-over") {
-            is_handed_over = true;
+        if output.contains("call-forwarded") {
+            is_forwarded = true;
             assert!(output.contains("host-1") && output.contains("host-2"), "{output}");
         }
     }
-    assert!(is_handed_over, "one of the entries is not the steward");
+    assert!(is_forwarded, "one of the entries is not the owner");
 
     // A lookup whose first server breaks is tried at the other.
     let look = |id: String| {
--- a/crates/daemon/src/backend.rs
+++ b/crates/daemon/src/backend.rs
@@ -106,13 +106,13 @@
 }
 
 fn server_row(view: ServerView) -> ServerRow {
-    let ServerView { record, steward, .. } = view;
-    let steward: EntryName = steward;
+    let ServerView { record, owner, .. } = view;
+    let owner: EntryName = owner;
     ServerRow {
         server: record.announcement.server,
         service: record.announcement.service,
         domain: record.announcement.domain,
         stage: record.stage,
-        steward,
+        owner,
     }
 }
--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -137,7 +137,7 @@
             peer_address: self.settings.peer_address,
             operator_address: self.settings.operator_address,
             serving: true,
-            is_steward: true,
+            owns_shards: true,
         };
         let (timeline, logger) = (self.timeline.clone(), self.logger.clone());
         let context = EntryContext::new(info, &self.metrics, timeline, logger, self.timer.clone());
@@ -158,7 +158,7 @@
                 max_body_bytes: self.settings.max_body_bytes,
                 ..IntakeSettings::default()
             },
-            guide_max_age: Duration::from_secs(self.settings.guide_max_age_s),
+            directory_max_age: Duration::from_secs(self.settings.directory_max_age_s),
             stop_grace: Duration::from_secs(self.settings.stop_grace_s),
         };
         let entry = EntryNode::start(Arc::new(context), settings).await?;
--- a/crates/daemon/src/settings_page.rs
+++ b/crates/daemon/src/settings_page.rs
@@ -27,8 +27,8 @@
 threads = 4
 # Requests in flight and waiting at an entry, 1 to 1000000.
 max_in_flight = 4096
-# How long callers may keep the guide's answer, in seconds, 1 to 600.
-guide_max_age_s = 5
+# How long callers may keep the directory's answer, in seconds, 1 to 600.
+directory_max_age_s = 5
 # Longest wait for requests in flight at a planned stop, in seconds, 1 to 600.
 stop_grace_s = 30
 # The greatest body of a request, in bytes, 1024 to 16777216.
--- a/crates/daemon/src/site.rs
+++ b/crates/daemon/src/site.rs
@@ -152,7 +152,7 @@
             peer_address: settings.peer_address(),
             operator_address: none,
             serving: true,
-            is_steward: false,
+            owns_shards: false,
         };
         let gateway = GatewaySettings {
             info,
--- a/crates/daemon/tests/at_most_once.rs
+++ b/crates/daemon/tests/at_most_once.rs
@@ -20,9 +20,9 @@
     for _ in 0..30 {
         let key = new_key();
         let (a, b, c) = tokio::join!(
-            system.book(0, &key, "x"),
-            system.book(1, &key, "x"),
-            system.book(2, &key, "x")
+            system.registry(0, &key, "x"),
+            system.registry(1, &key, "x"),
+            system.registry(2, &key, "x")
         );
         let answers: Vec<_> =
             [a, b, c].into_iter().map(|answer| answer.expect("answers")).collect();
@@ -33,22 +33,22 @@
 
     // The answer is lost and the request resent elsewhere.
     let key = new_key();
-    assert_eq!(system.book(0, &key, "x").await.expect("answers").status, 200);
+    assert_eq!(system.registry(0, &key, "x").await.expect("answers").status, 200);
     pause(300).await;
-    let again = system.book(1, &key, "x").await.expect("answers");
+    let again = system.registry(1, &key, "x").await.expect("answers");
     assert_eq!((again.status, outcome(&again)), (409, "ran"));
 
     // The same key with another body.
-    let other = system.book(2, &key, "y").await.expect("answers");
+    let other = system.registry(2, &key, "y").await.expect("answers");
     assert_eq!((other.status, outcome(&other)), (422, "unknown"));
     assert_eq!(runs(&servers, &key), 1);
 
     // A key that is too old, and one that is no UUIDv7.
     let old = uuid::Builder::from_unix_timestamp_millis(1_000, &[7; 10]).into_uuid().to_string();
-    let answer = system.book(0, &old, "x").await.expect("answers");
+    let answer = system.registry(0, &old, "x").await.expect("answers");
     assert_eq!((answer.status, outcome(&answer)), (409, "unknown"));
     let bad = uuid::Uuid::from_u128(5).to_string();
-    let answer = system.book(0, &bad, "x").await.expect("answers");
+    let answer = system.registry(0, &bad, "x").await.expect("answers");
     assert_eq!((answer.status, outcome(&answer)), (400, "not-run"));
     assert_eq!(runs(&servers, &old) + runs(&servers, &bad), 0);
 }
@@ -73,12 +73,12 @@
         system.wait_served(0, "book").await;
         servers.iter().for_each(|server| server.change(|b| b.mode = mode));
         let key = new_key();
-        let answer = system.book(0, &key, "x").await.expect("answers");
+        let answer = system.registry(0, &key, "x").await.expect("answers");
         assert_eq!((answer.status, outcome(&answer)), (status, expected), "{mode:?}");
         assert_eq!(runs(&servers, &key), count, "{mode:?}");
         servers.iter().for_each(|server| server.change(|b| b.mode = FakeMode::Normal));
         system.wait_served(0, "book").await;
-        let again = system.book(0, &key, "x").await.expect("answers");
+        let again = system.registry(0, &key, "x").await.expect("answers");
         if expected == "not-run" {
             assert_eq!((again.status, runs(&servers, &key)), (200, 1), "{mode:?}");
         } else {
@@ -88,7 +88,7 @@
     }
 }
 
-/// Books with many keys at all entries, each again elsewhere until it is answered, while `disturb`
+/// Registries with many keys at all entries, each again elsewhere until it is answered, while `disturb`
 /// runs. Then no key ran twice, and none ran that was only ever answered with "not run".
 async fn book_through_trouble(
     system: &System,
@@ -96,13 +96,13 @@
     count: usize,
     disturb: impl Future<Output = ()>,
 ) {
-    let book = async {
+    let registry = async {
         let mut answers: BTreeMap<String, Vec<String>> = BTreeMap::new();
         for number in 0..count {
             let key = new_key();
             for attempt in 0..12 {
                 let index = (number + attempt) % system.group.processes.len();
-                let answer = system.book(index, &key, "x").await;
+                let answer = system.registry(index, &key, "x").await;
                 let said = answer.as_ref().map_or("none", |answer| outcome(answer)).to_owned();
                 answers.entry(key.clone()).or_default().push(said.clone());
                 if said == "ran" {
@@ -116,7 +116,7 @@
         }
         answers
     };
-    let (answers, ()) = tokio::join!(book, disturb);
+    let (answers, ()) = tokio::join!(registry, disturb);
     pause(500).await;
     let mut ran = 0;
     for (key, said) in &answers {
@@ -174,7 +174,7 @@
         pause(delay_ms).await;
         system.group.kill(0).expect("killed");
         assert!(sent.await.expect("joined").is_err(), "the entry was killed first");
-        let again = system.book(1, &key, "x").await.expect("answers");
+        let again = system.registry(1, &key, "x").await.expect("answers");
         pause(800).await;
         let count = runs(&servers, &key);
         assert!(count <= 1, "{count} runs after {delay_ms} ms");
@@ -190,7 +190,7 @@
     let server = system.server("b-1", "book", "east").await;
     system.wait_served(0, "book").await;
     let key = new_key();
-    assert_eq!(system.book(0, &key, "x").await.expect("answers").status, 200);
+    assert_eq!(system.registry(0, &key, "x").await.expect("answers").status, 200);
     // Two of three lose their processes, and one of these its disk: no quorum remembers the claim.
     let leader = system.leader().await;
     let (other, wiped) = ((leader + 1) % 3, (leader + 2) % 3);
@@ -199,7 +199,7 @@
     system.group.wipe(wiped).expect("wiped");
     system.group.spawn(wiped).expect("starts");
     for _ in 0..10 {
-        let answer = system.book(other, &key, "x").await.expect("answers");
+        let answer = system.registry(other, &key, "x").await.expect("answers");
         assert_ne!(answer.status, 200);
         assert_ne!(outcome(&answer), "not-run", "it ran");
         pause(300).await;
@@ -208,7 +208,7 @@
     // With the disk that remembers back, the system serves and still knows the claim.
     system.group.spawn(leader).expect("starts");
     system.wait_served(other, "book").await;
-    let answer = system.book(other, &key, "x").await.expect("answers");
+    let answer = system.registry(other, &key, "x").await.expect("answers");
     assert_eq!((answer.status, outcome(&answer)), (409, "ran"));
     assert_eq!(runs(&[&server], &key), 1);
 }
--- a/crates/daemon/tests/lifecycle.rs
+++ b/crates/daemon/tests/lifecycle.rs
@@ -1,6 +1,6 @@
-//! Drains, leaving servers, cold starts, stewards that fail, and planned stops, with real processes.
+//! Drains, leaving servers, cold starts, owners that fail, and planned stops, with real processes.
 
-use caller::GuideAnswer;
+use caller::DirectoryAnswer;
 use std::{
     net::SocketAddr,
     sync::{
@@ -142,7 +142,7 @@
 }
 
 #[tokio::test(flavor = "multi_thread")]
-async fn the_servers_of_a_killed_steward_are_served_again() {
+async fn the_servers_of_a_killed_owner_are_served_again() {
     let mut system = System::start(PROGRAM, 3, 4).await;
     let mut servers = Vec::new();
     for number in 0..6 {
@@ -150,14 +150,14 @@
     }
     system.wait_warm(0, 6).await;
     let page = system.status(0).await.and_then(|page| page.entry).expect("entry");
-    assert!(page.servers.iter().any(|row| row.steward.as_str() == "host-4"));
+    assert!(page.servers.iter().any(|row| row.owner.as_str() == "host-4"));
     system.group.kill(3).expect("killed");
-    wait_until("all servers have living stewards and are warm", || async {
+    wait_until("all servers have living owners and are warm", || async {
         let page = system.status(0).await.and_then(|page| page.entry);
         page.is_some_and(|entry| {
             entry.servers.len() == 6
                 && entry.servers.iter().all(|row| {
-                    row.steward.as_str() != "host-4" && row.stage == types::ServerStage::Warm
+                    row.owner.as_str() != "host-4" && row.stage == types::ServerStage::Warm
                 })
         })
     })
@@ -175,7 +175,7 @@
 const PROBE_WINDOW: Duration = Duration::from_secs(5);
 
 #[tokio::test(flavor = "multi_thread")]
-async fn probes_stay_within_the_budget_while_stewards_change() {
+async fn probes_stay_within_the_budget_while_owners_change() {
     let mut system = System::start(PROGRAM, 3, 4).await;
     let mut probed = testkit::document(5_000);
     probed.services[0].probes_per_minute = PROBES_PER_MINUTE as u16;
@@ -193,7 +193,7 @@
         for (server, counts) in servers.iter().zip(&mut counts) {
             counts.push((Instant::now(), server.stats().probes));
         }
-        // Stewards are frozen, thawed, killed and started again meanwhile.
+        // ShardOwners are frozen, thawed, killed and started again meanwhile.
         match (step, started.elapsed().as_secs()) {
             (0, 3..) => system.group.signal(3, "STOP").expect("frozen"),
             (1, 7..) => system.group.signal(3, "CONT").expect("thawed"),
@@ -215,14 +215,14 @@
     }
 }
 
-/// A caller that uses the guide as told: keeps its answer for its max-age, and not longer.
-struct GuidedCaller {
+/// A caller that uses the directory as told: keeps its answer for its max-age, and not longer.
+struct DirectedCaller {
     client: HttpClient,
     known: Vec<SocketAddr>,
     entry: Option<(SocketAddr, Instant)>,
 }
 
-impl GuidedCaller {
+impl DirectedCaller {
     async fn entry(&mut self) -> SocketAddr {
         if let Some((entry, until)) = self.entry
             && Instant::now() < until
@@ -236,18 +236,18 @@
                 let Ok(answer) = self.client.send(address, request).await else {
                     continue;
                 };
-                let Ok(guide) = serde_json::from_slice::<GuideAnswer>(&answer.body) else {
+                let Ok(directory) = serde_json::from_slice::<DirectoryAnswer>(&answer.body) else {
                     continue;
                 };
-                if let Some(first) = guide.entries.first() {
-                    let until = asked + Duration::from_secs(guide.max_age_s);
+                if let Some(first) = directory.entries.first() {
+                    let until = asked + Duration::from_secs(directory.max_age_s);
                     self.entry = Some((first.address, until));
                     return first.address;
                 }
             }
             pause(20).await;
         }
-        panic!("no entry guides");
+        panic!("no entry directories");
     }
 }
 
@@ -269,7 +269,7 @@
     for _ in 0..8 {
         let stop = stop.clone();
         let known = system.group.processes.iter().map(|process| process.caller).collect();
-        let mut caller = GuidedCaller { client: system.client.clone(), known, entry: None };
+        let mut caller = DirectedCaller { client: system.client.clone(), known, entry: None };
         callers.spawn(async move {
             let (mut good, mut bad) = (0_u64, Vec::new());
             while !stop.load(Ordering::SeqCst) {
--- a/crates/entry/src/active_call.rs
+++ b/crates/entry/src/active_call.rs
@@ -1,6 +1,6 @@
 //! A request on its way through an entry, with what is known about it.
 
-use crate::{lane::ServiceLane, tries::PreparedCall};
+use crate::{attempts::PreparedCall, service_pool::ServicePool};
 use std::{
     sync::{
         Arc,
@@ -22,14 +22,14 @@
 
 /// A request on its way.
 ///
-/// Invariant: `possible_runs` counts the tries that were begun and not proved to have run nothing;
+/// Invariant: `possible_runs` counts the attempts that were begun and not proved to have run nothing;
 /// a try that is dropped stays counted.
 pub(crate) struct ActiveCall {
     pub(crate) call: CallRequest,
     /// The key that the caller gave. A key made by this entry is in `call` only.
     pub(crate) stated_key: Option<Uuid>,
     pub(crate) prepared: PreparedCall,
-    pub(crate) lane: Arc<ServiceLane>,
+    pub(crate) pool: Arc<ServicePool>,
     pub(crate) deadline: Instant,
     pub(crate) source: CallSource,
     possible_runs: AtomicU32,
@@ -40,12 +40,12 @@
         call: CallRequest,
         stated_key: Option<Uuid>,
         prepared: PreparedCall,
-        lane: Arc<ServiceLane>,
+        pool: Arc<ServicePool>,
         deadline: Instant,
         source: CallSource,
     ) -> Self {
         let possible_runs = AtomicU32::new(0);
-        Self { call, stated_key, prepared, lane, deadline, source, possible_runs }
+        Self { call, stated_key, prepared, pool, deadline, source, possible_runs }
     }
 
     /// Notes that a try begins.
@@ -58,7 +58,7 @@
         self.possible_runs.fetch_sub(1, Ordering::AcqRel);
     }
 
-    /// Returns the answer with the truth about all tries: "not run" only if none can have run.
+    /// Returns the answer with the truth about all attempts: "not run" only if none can have run.
     pub(crate) fn qualify(&self, answer: CallAnswer) -> CallAnswer {
         let may_have_run = self.possible_runs.load(Ordering::Acquire) > 0;
         if answer.outcome == CallOutcome::NotRun && may_have_run {
--- a/crates/entry/src/tries.rs
+++ b/crates/entry/src/attempts.rs
@@ -1,9 +1,9 @@
 //! One try of a request at one server.
 
-use crate::{EntryContext, active_call::ActiveCall, lane::ServerPermit};
+use crate::{EntryContext, active_call::ActiveCall, service_pool::ServerPermit};
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, uri::PathAndQuery};
-use policy::{StatedLoad, TryOutcome};
+use policy::{AttemptOutcome, StatedLoad};
 use runtime::EventKind;
 use server::{SendError, ServerAnswer, ServerRequest, ServerTransport, StartGuard, TransportError};
 use std::{sync::Arc, time::Instant};
@@ -11,7 +11,7 @@
 
 /// How a try ended, as far as the request is concerned.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub(crate) enum TryEnd {
+pub(crate) enum AttemptEnd {
     /// The server's whole answer.
     Answered(CallAnswer),
     /// The server did not run it and will not.
@@ -76,14 +76,14 @@
 
 impl TryRunner {
     /// Sends a request to the permit's server and ends the permit.
-    pub(crate) async fn run(&self, active: &ActiveCall, permit: ServerPermit) -> TryEnd {
+    pub(crate) async fn run(&self, active: &ActiveCall, permit: ServerPermit) -> AttemptEnd {
         let server = permit.server.name.clone();
         let (address, deadline) = (permit.server.address, active.deadline);
         let connection = match self.transport.connect(address, deadline).await {
             Ok(connection) => connection,
             Err(error) => {
                 permit.finish(connect_outcome(&error), &StatedLoad::default());
-                return TryEnd::NotRun(format!("{server}: {error}"));
+                return AttemptEnd::NotRun(format!("{server}: {error}"));
             }
         };
         self.context.record_call(EventKind::CallSent, active.call.id, format!("to {server}"));
@@ -92,13 +92,13 @@
         let request = active.prepared.request(deadline);
         let result = connection.send(request, self.guard(), deadline).await;
         let outcome = send_outcome(&result, started);
-        if outcome == TryOutcome::Broken {
+        if outcome == AttemptOutcome::Broken {
             self.transport.forget(address);
         }
         let stated = result.as_ref().map(stated_load).unwrap_or_default();
         permit.finish(outcome, &stated);
         let end = judge(&server, result);
-        if matches!(end, TryEnd::NotRun(_) | TryEnd::Closed) {
+        if matches!(end, AttemptEnd::NotRun(_) | AttemptEnd::Closed) {
             active.note_not_run();
         }
         end
@@ -110,20 +110,20 @@
     }
 }
 
-fn connect_outcome(error: &TransportError) -> TryOutcome {
+fn connect_outcome(error: &TransportError) -> AttemptOutcome {
     match error {
-        TransportError::Refused | TransportError::NotConnected(_) => TryOutcome::Unreachable,
+        TransportError::Refused | TransportError::NotConnected(_) => AttemptOutcome::Unreachable,
     }
 }
 
-fn send_outcome(result: &Result<ServerAnswer, SendError>, started: Instant) -> TryOutcome {
+fn send_outcome(result: &Result<ServerAnswer, SendError>, started: Instant) -> AttemptOutcome {
     match result {
-        Ok(answer) if answer.is_not_run => TryOutcome::Shed,
-        Ok(answer) if answer.status >= 500 => TryOutcome::ServerError,
-        Ok(_) | Err(SendError::TooLarge(_)) => TryOutcome::Success(started.elapsed()),
-        Err(SendError::Guarded | SendError::NotSent(_)) => TryOutcome::Cancelled,
-        Err(SendError::MaybeSent(_)) => TryOutcome::Broken,
-        Err(SendError::DeadlinePassed) => TryOutcome::Late,
+        Ok(answer) if answer.is_not_run => AttemptOutcome::Shed,
+        Ok(answer) if answer.status >= 500 => AttemptOutcome::ServerError,
+        Ok(_) | Err(SendError::TooLarge(_)) => AttemptOutcome::Success(started.elapsed()),
+        Err(SendError::Guarded | SendError::NotSent(_)) => AttemptOutcome::Cancelled,
+        Err(SendError::MaybeSent(_)) => AttemptOutcome::Broken,
+        Err(SendError::DeadlinePassed) => AttemptOutcome::Late,
     }
 }
 
@@ -131,25 +131,25 @@
     StatedLoad { load: answer.load, incarnation: answer.incarnation, is_leaving: answer.is_leaving }
 }
 
-fn judge(server: &ServerName, result: Result<ServerAnswer, SendError>) -> TryEnd {
+fn judge(server: &ServerName, result: Result<ServerAnswer, SendError>) -> AttemptEnd {
     match result {
-        Ok(answer) if answer.is_not_run => TryEnd::NotRun(format!("{server} shed the request")),
-        Ok(answer) => TryEnd::Answered(CallAnswer {
+        Ok(answer) if answer.is_not_run => AttemptEnd::NotRun(format!("{server} shed the request")),
+        Ok(answer) => AttemptEnd::Answered(CallAnswer {
             status: answer.status,
             outcome: CallOutcome::Ran,
             headers: answer.headers,
             body: answer.body,
             retry_after_ms: None,
         }),
-        Err(SendError::Guarded) => TryEnd::Closed,
-        Err(SendError::NotSent(reason)) => TryEnd::NotRun(format!("{server}: {reason}")),
-        Err(error @ SendError::TooLarge(_)) => TryEnd::Answered(CallAnswer::refusal(
+        Err(SendError::Guarded) => AttemptEnd::Closed,
+        Err(SendError::NotSent(reason)) => AttemptEnd::NotRun(format!("{server}: {reason}")),
+        Err(error @ SendError::TooLarge(_)) => AttemptEnd::Answered(CallAnswer::refusal(
             502,
             CallOutcome::Ran,
             &format!("{server}: {error}"),
         )),
-        Err(SendError::MaybeSent(reason)) => TryEnd::Unknown(format!("{server}: {reason}")),
-        Err(SendError::DeadlinePassed) => TryEnd::Late,
+        Err(SendError::MaybeSent(reason)) => AttemptEnd::Unknown(format!("{server}: {reason}")),
+        Err(SendError::DeadlinePassed) => AttemptEnd::Late,
     }
 }
 
--- a/crates/entry/src/roster.rs
+++ b/crates/entry/src/catalog.rs
@@ -1,10 +1,10 @@
-//! Which servers there are: announcements in, beats and book deltas between entries, lanes out.
+//! Which servers there are: announcements in, beats and registry deltas between entries, pools out.
 
 use crate::{
     EntryContext,
     context::NO_VERSION,
-    lane::{BeatClock, LaneTable, ServerObserver},
-    steward::StewardDesk,
+    owned_shards::OwnedShards,
+    service_pool::{BeatClock, PoolTable, ServerObserver},
 };
 use async_trait::async_trait;
 use parking_lot::{Mutex, RwLock};
@@ -21,17 +21,17 @@
     time::{Duration, Instant},
 };
 use types::{
-    Announcement, BookChange, BookDelta, BookRequest, ClusterView, EntryInfo, EntryName, HostName,
-    ServerIncarnation, ServerName, ServerRecord, ServerStage, ServiceName, StewardBeat, StewardId,
-    SuspectKind, SuspectReport,
+    Announcement, ClusterView, EntryInfo, EntryName, HostName, OwnerBeat, RegistryChange,
+    RegistryDelta, RegistryRequest, ServerIncarnation, ServerName, ServerRecord, ServerStage,
+    ServiceName, ShardOwnerId, SuspectKind, SuspectReport,
 };
 
 /// Period of beats.
 const BEAT_PERIOD: Duration = Duration::from_millis(500);
 /// Period in which servers announce themselves.
 const ANNOUNCE_PERIOD: Duration = Duration::from_secs(3);
-/// Time allowed for a message to a steward.
-const STEWARD_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time allowed for a message to a shard owner.
+const OWNER_TIMEOUT: Duration = Duration::from_millis(500);
 /// Pause between two pulls of a long delta, which bounds the traffic of mass changes.
 const PULL_PAUSE: Duration = Duration::from_millis(50);
 /// Time assumed for requests of a service that has no specification.
@@ -40,22 +40,22 @@
 const OTHER_ENTRIES: usize = 3;
 
 /// The servers as this entry knows them.
-pub(crate) struct ServerRoster {
+pub(crate) struct ServerCatalog {
     context: Arc<EntryContext>,
     link: Arc<dyn PeerLink>,
-    desk: StewardDesk,
+    desk: OwnedShards,
     directory: Mutex<ServerDirectory>,
     clocks: RwLock<HashMap<EntryName, Arc<BeatClock>>>,
     pulling: Mutex<BTreeSet<EntryName>>,
-    /// Held while a lane is brought up to date, so that an older account never follows a newer.
+    /// Held while a pool is brought up to date, so that an older account never follows a newer.
     refreshing: Mutex<()>,
-    /// Lanes of all services.
-    pub(crate) lanes: LaneTable,
+    /// Pools of all services.
+    pub(crate) pools: PoolTable,
     started: Instant,
     this: Weak<Self>,
 }
 
-impl ServerRoster {
+impl ServerCatalog {
     pub(crate) fn new(
         context: Arc<EntryContext>,
         link: Arc<dyn PeerLink>,
@@ -64,12 +64,12 @@
         Arc::new_cyclic(|this: &Weak<Self>| {
             let observer: Weak<dyn ServerObserver> = this.clone();
             Self {
-                desk: StewardDesk::new(context.clone()),
+                desk: OwnedShards::new(context.clone()),
                 directory: Mutex::default(),
                 clocks: RwLock::default(),
                 pulling: Mutex::default(),
                 refreshing: Mutex::default(),
-                lanes: LaneTable::new(context.clone(), observer, settings),
+                pools: PoolTable::new(context.clone(), observer, settings),
                 started: Instant::now(),
                 context,
                 link,
@@ -82,7 +82,7 @@
     pub(crate) async fn run(self: Arc<Self>) {
         let mut ticks = self.context.timer.subscribe(BEAT_PERIOD);
         while ticks.tick().await.is_some() {
-            // A steward whose view is not fresh may have been replaced.
+            // A shard owner whose view is not fresh may have been replaced.
             if !self.context.is_open() {
                 continue;
             }
@@ -97,7 +97,7 @@
 
     /// Takes a new view over.
     pub(crate) fn view_changed(&self, view: &ClusterView) {
-        let mut services: BTreeSet<ServiceName> = self.lanes.services().into_iter().collect();
+        let mut services: BTreeSet<ServiceName> = self.pools.services().into_iter().collect();
         {
             let mut directory = self.directory.lock();
             self.desk.view_changed(view, &directory.all_records());
@@ -110,21 +110,21 @@
     }
 
     /// Takes a beat in.
-    pub(crate) fn observe_beat(&self, host: &HostName, beat: &StewardBeat) {
-        if beat.steward.entry.as_str() != host.as_str() {
+    pub(crate) fn observe_beat(&self, host: &HostName, beat: &OwnerBeat) {
+        if beat.owner.entry.as_str() != host.as_str() {
             self.context.counters.servers.count("beat-refused");
             return;
         }
         let now = Instant::now();
         let request = self.directory.lock().observe_beat(beat, now);
         match request {
-            None => self.clock(&beat.steward.entry).confirm(now),
-            Some(request) => self.start_pull(beat.steward.clone(), request),
+            None => self.clock(&beat.owner.entry).confirm(now),
+            Some(request) => self.start_pull(beat.owner.clone(), request),
         }
     }
 
-    /// Returns what another entry lacks of this entry's book.
-    pub(crate) fn delta(&self, request: &BookRequest) -> BookDelta {
+    /// Returns what another entry lacks of this entry's registry.
+    pub(crate) fn delta(&self, request: &RegistryRequest) -> RegistryDelta {
         self.desk.delta(request)
     }
 
@@ -132,8 +132,8 @@
     pub(crate) fn announce_here(&self, announcement: &Announcement) -> Result<(), String> {
         let view = self.context.view();
         let lease = view.server_lease(&announcement.server);
-        if lease.is_none_or(|lease| lease.steward != self.context.name()) {
-            return Err("this entry is not the server's steward".to_owned());
+        if lease.is_none_or(|lease| lease.owner != self.context.name()) {
+            return Err("this entry is not the server's owner".to_owned());
         }
         if !self.context.is_open() {
             return Err("this entry cannot confirm its view".to_owned());
@@ -170,8 +170,8 @@
 
     /// Says whether a server has answered a request of this entry lately.
     pub(crate) fn has_answered_lately(&self, record: &ServerRecord, now: Instant) -> bool {
-        let lane = self.lanes.lane(&record.announcement.service);
-        lane.has_answered_lately(&record.announcement.server, now)
+        let pool = self.pools.pool(&record.announcement.service);
+        pool.has_answered_lately(&record.announcement.server, now)
     }
 
     /// Returns all servers as this entry knows them, ordered by name.
@@ -183,7 +183,7 @@
         found.map(|server| self.server_view(server, &view, DEFAULT_TIMEOUT)).collect()
     }
 
-    /// Makes a change of this entry's book known, here and to all others.
+    /// Makes a change of this entry's registry known, here and to all others.
     fn publish(&self) {
         self.pull_own();
         self.send_beats(&self.context.view());
@@ -201,7 +201,7 @@
         }
     }
 
-    /// Brings the directory up to date with this entry's own book.
+    /// Brings the directory up to date with this entry's own registry.
     fn pull_own(&self) {
         let now = Instant::now();
         let changed = {
@@ -219,43 +219,43 @@
         self.refresh(changed);
     }
 
-    fn start_pull(&self, steward: StewardId, request: BookRequest) {
-        if !self.pulling.lock().insert(steward.entry.clone()) {
+    fn start_pull(&self, owner: ShardOwnerId, request: RegistryRequest) {
+        if !self.pulling.lock().insert(owner.entry.clone()) {
             return;
         }
-        let Some(roster) = self.this.upgrade() else {
+        let Some(catalog) = self.this.upgrade() else {
             return;
         };
         tokio::spawn(async move {
-            roster.pull(&steward, request).await;
-            roster.pulling.lock().remove(&steward.entry);
+            catalog.pull(&owner, request).await;
+            catalog.pulling.lock().remove(&owner.entry);
         });
     }
 
-    /// Pulls a steward's book until nothing is left of it.
-    async fn pull(&self, steward: &StewardId, first: BookRequest) {
-        let Some(target) = self.entry_target(&steward.entry) else {
+    /// Pulls a shard owner's registry until nothing is left of it.
+    async fn pull(&self, owner: &ShardOwnerId, first: RegistryRequest) {
+        let Some(target) = self.entry_target(&owner.entry) else {
             return;
         };
         let mut request = first;
         loop {
             let asked = Instant::now();
-            let message = PeerRequest::Book(request.clone());
-            let answer = self.link.call(&target, message, STEWARD_TIMEOUT).await;
-            let Ok(PeerAnswer::Book(delta)) = answer else {
+            let message = PeerRequest::Registry(request.clone());
+            let answer = self.link.call(&target, message, OWNER_TIMEOUT).await;
+            let Ok(PeerAnswer::Registry(delta)) = answer else {
                 self.context.counters.servers.count("pull-failed");
                 return;
             };
             let is_progress = delta.is_whole || delta.version > request.since;
-            let incarnation = delta.steward.incarnation;
+            let incarnation = delta.owner.incarnation;
             let since = delta.version;
             let is_full = !delta.changes.is_empty();
             let changed = self.directory.lock().apply(&delta, asked);
-            self.clock(&steward.entry).confirm(asked);
+            self.clock(&owner.entry).confirm(asked);
             self.refresh(changed);
             let told = delta.changes.iter().filter_map(|change| match change {
-                BookChange::Put(record) => Some(record),
-                BookChange::Remove(_) => None,
+                RegistryChange::Put(record) => Some(record),
+                RegistryChange::Remove(_) => None,
             });
             if self.desk.adopt(told) {
                 self.publish();
@@ -263,12 +263,12 @@
             if !is_progress || !is_full || since == NO_VERSION {
                 return;
             }
-            request = BookRequest { incarnation, since };
+            request = RegistryRequest { incarnation, since };
             tokio::time::sleep(PULL_PAUSE).await;
         }
     }
 
-    /// Brings the lanes of services up to date.
+    /// Brings the pools of services up to date.
     fn refresh(&self, services: impl IntoIterator<Item = ServiceName>) {
         let _guard = self.refreshing.lock();
         let view = self.context.view();
@@ -279,7 +279,7 @@
                 .map_or(DEFAULT_TIMEOUT, |spec| Duration::from_millis(u64::from(spec.timeout_ms)));
             let views =
                 found.into_iter().map(|server| self.server_view(server, &view, timeout)).collect();
-            self.lanes.lane(&service).update(views, spec);
+            self.pools.pool(&service).update(views, spec);
         }
     }
 
@@ -289,22 +289,22 @@
         view: &ClusterView,
         timeout: Duration,
     ) -> ServerView {
-        let DirectoryServer { record, steward } = server;
-        let is_own = steward == self.context.name();
+        let DirectoryServer { record, owner } = server;
+        let is_own = owner == self.context.name();
         let may_warm = is_own
             && record.stage == ServerStage::Cold
             && self.desk.may_warm(&record.announcement.server, timeout);
         let is_drained = view.is_drained(&record.announcement.domain);
-        ServerView { record, steward, may_warm, is_drained }
+        ServerView { record, owner, may_warm, is_drained }
     }
 
-    fn clock(&self, steward: &EntryName) -> Arc<BeatClock> {
-        if let Some(clock) = self.clocks.read().get(steward) {
+    fn clock(&self, owner: &EntryName) -> Arc<BeatClock> {
+        if let Some(clock) = self.clocks.read().get(owner) {
             return clock.clone();
         }
         let mut clocks = self.clocks.write();
         let clock =
-            clocks.entry(steward.clone()).or_insert_with(|| Arc::new(BeatClock::new(self.started)));
+            clocks.entry(owner.clone()).or_insert_with(|| Arc::new(BeatClock::new(self.started)));
         clock.clone()
     }
 
@@ -312,16 +312,16 @@
         peer_target(self.context.view().entry(name)?)
     }
 
-    fn announce_answer(&self, steward: &EntryName) -> Option<AnnounceAnswer> {
+    fn announce_answer(&self, owner: &EntryName) -> Option<AnnounceAnswer> {
         let view = self.context.view();
         let others = view
             .entries()
-            .filter(|entry| entry.name != *steward && entry.serving)
+            .filter(|entry| entry.name != *owner && entry.serving)
             .map(|entry| entry.server_address)
             .take(OTHER_ENTRIES)
             .collect();
         Some(AnnounceAnswer {
-            steward: view.entry(steward)?.server_address,
+            owner: view.entry(owner)?.server_address,
             others,
             period_ms: ANNOUNCE_PERIOD.as_millis() as u64,
         })
@@ -329,31 +329,31 @@
 }
 
 #[async_trait]
-impl AnnounceHandler for ServerRoster {
+impl AnnounceHandler for ServerCatalog {
     async fn announce(
         &self,
         announcement: Announcement,
     ) -> Result<AnnounceAnswer, AnnounceRefusal> {
         let unavailable = |reason: &str| AnnounceRefusal::Unavailable(reason.to_owned());
         let lease = self.context.view().server_lease(&announcement.server).cloned();
-        let steward = lease.ok_or_else(|| unavailable("no steward yet"))?.steward;
-        if steward == self.context.name() {
+        let owner = lease.ok_or_else(|| unavailable("no owner yet"))?.owner;
+        if owner == self.context.name() {
             self.announce_here(&announcement).map_err(|reason| unavailable(&reason))?;
         } else {
-            let target = self.entry_target(&steward);
-            let target = target.ok_or_else(|| unavailable("the steward is unknown"))?;
+            let target = self.entry_target(&owner);
+            let target = target.ok_or_else(|| unavailable("the owner is unknown"))?;
             let request = PeerRequest::Announce(announcement);
-            match self.link.call(&target, request, STEWARD_TIMEOUT).await {
+            match self.link.call(&target, request, OWNER_TIMEOUT).await {
                 Ok(PeerAnswer::Done) => {}
                 Ok(PeerAnswer::Refused(reason)) => return Err(unavailable(&reason)),
-                Ok(_) | Err(_) => return Err(unavailable("the steward does not answer")),
+                Ok(_) | Err(_) => return Err(unavailable("the owner does not answer")),
             }
         }
-        self.announce_answer(&steward).ok_or_else(|| unavailable("the steward is unknown"))
+        self.announce_answer(&owner).ok_or_else(|| unavailable("the owner is unknown"))
     }
 }
 
-impl ServerObserver for ServerRoster {
+impl ServerObserver for ServerCatalog {
     fn server_warmed(&self, server: &ServerName, incarnation: ServerIncarnation) {
         if self.desk.mark_warm(server, incarnation) {
             self.context.record_server(EventKind::ServerWarm, server, String::new());
@@ -365,16 +365,16 @@
         self.context.counters.servers.count("suspected");
         let report =
             SuspectReport { server: server.name.clone(), incarnation: server.incarnation, kind };
-        if server.steward == self.context.name() {
+        if server.owner == self.context.name() {
             self.take_suspicion(&report);
-        } else if let Some(target) = self.entry_target(&server.steward) {
+        } else if let Some(target) = self.entry_target(&server.owner) {
             self.link.send(&target, PeerRequest::Suspect(report));
         }
     }
 
-    fn is_confirmed(&self, steward: &EntryName) -> bool {
+    fn is_confirmed(&self, owner: &EntryName) -> bool {
         let clocks = self.clocks.read();
-        clocks.get(steward).is_some_and(|clock| clock.is_within(BEAT_LIMIT, Instant::now()))
+        clocks.get(owner).is_some_and(|clock| clock.is_within(BEAT_LIMIT, Instant::now()))
     }
 }
 
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -11,7 +11,7 @@
     time::{Duration, Instant},
 };
 use types::{
-    BookVersion, ClusterView, EntryIncarnation, EntryInfo, EntryName, ServerName, StewardId,
+    ClusterView, EntryIncarnation, EntryInfo, EntryName, RegistryVersion, ServerName, ShardOwnerId,
 };
 
 /// Counters of an entry's decisions.
@@ -21,7 +21,7 @@
     pub calls: DecisionCounters,
     /// Freshness of the view.
     pub freshness: DecisionCounters,
-    /// Servers and stewards.
+    /// Servers and owners.
     pub servers: DecisionCounters,
 }
 
@@ -86,10 +86,10 @@
         self.info.read().incarnation
     }
 
-    /// Returns this entry as a steward.
-    pub fn steward_id(&self) -> StewardId {
+    /// Returns this entry as a shard owner.
+    pub fn owner_id(&self) -> ShardOwnerId {
         let info = self.info.read();
-        StewardId { entry: info.name.clone(), incarnation: info.incarnation }
+        ShardOwnerId { entry: info.name.clone(), incarnation: info.incarnation }
     }
 
     /// Returns the view. Whoever acts on it asks the gate first.
@@ -125,8 +125,8 @@
     }
 }
 
-/// The version before any change of a book.
-pub(crate) const NO_VERSION: BookVersion = BookVersion(0);
+/// The version before any change of a registry.
+pub(crate) const NO_VERSION: RegistryVersion = RegistryVersion(0);
 
 /// Returns the time left until a deadline, in whole milliseconds, at least 1.
 pub(crate) fn left_ms(deadline: Instant) -> u32 {
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -1,17 +1,17 @@
-//! The way of a request through an entry: admission, tries, retries, hedges, handing over.
+//! The way of a request through an entry: admission, attempts, retries, hedges, handing over.
 
 use crate::{
     EntryContext,
     active_call::{ActiveCall, CallSource},
+    attempts::{AttemptEnd, PreparedCall, TryRunner},
+    catalog::ServerCatalog,
     claims::ClaimLedger,
     context::{left_ms, whole_ms},
-    lane::{AcquireError, ServerPermit},
     once::OnceRunner,
-    roster::ServerRoster,
-    tries::{PreparedCall, TryEnd, TryRunner},
+    service_pool::{AcquireError, ServerPermit},
 };
 use async_trait::async_trait;
-use caller::{CallHandler, GuideAnswer, GuideEntry};
+use caller::{CallHandler, DirectoryAnswer, DirectoryEntry};
 use peer::{PeerAnswer, PeerError, PeerLink, PeerRequest};
 use policy::{AdmissionGate, rank_entries, retry_after};
 use rand::Rng;
@@ -32,17 +32,17 @@
 };
 use uuid::Uuid;
 
-/// Tries of a request, the first included.
-pub(crate) const MAX_TRIES: usize = 3;
-/// Entries that the guide names for a service.
-const GUIDE_ENTRIES: usize = 3;
+/// Attempts at a request, the first included.
+pub(crate) const MAX_ATTEMPTS: usize = 3;
+/// Entries that the directory names for a service.
+const DIRECTORY_ENTRIES: usize = 3;
 /// Part of a request's time that it may spend on warming a server up.
 const WARM_UP_DIVISOR: u32 = 4;
 /// Time after which a caller should ask again while an entry is closed.
 const CLOSED_RETRY_AFTER: Duration = Duration::from_millis(500);
 
 /// What handing a request over came to.
-pub(crate) enum HandOverEnd {
+pub(crate) enum ForwardEnd {
     /// The other entry's answer.
     Answered(CallAnswer),
     /// The request did not reach it.
@@ -54,11 +54,11 @@
 /// Brings requests to servers.
 pub struct CallDispatcher {
     pub(crate) context: Arc<EntryContext>,
-    pub(crate) roster: Arc<ServerRoster>,
+    pub(crate) catalog: Arc<ServerCatalog>,
     pub(crate) runner: TryRunner,
     link: Arc<dyn PeerLink>,
     admission: AdmissionGate,
-    guide_max_age: Duration,
+    directory_max_age: Duration,
     once: OnceRunner,
     this: Weak<Self>,
 }
@@ -66,29 +66,29 @@
 impl CallDispatcher {
     pub(crate) fn new(
         context: Arc<EntryContext>,
-        roster: Arc<ServerRoster>,
+        catalog: Arc<ServerCatalog>,
         transport: Arc<dyn ServerTransport>,
         link: Arc<dyn PeerLink>,
         ledger: Arc<dyn ClaimLedger>,
         admission: AdmissionGate,
-        guide_max_age: Duration,
+        directory_max_age: Duration,
     ) -> Arc<Self> {
         let runner = TryRunner { context: context.clone(), transport };
         let once = OnceRunner::new(runner.clone(), ledger);
         Arc::new_cyclic(|this| Self {
             context,
-            roster,
+            catalog,
             runner,
             link,
             admission,
-            guide_max_age,
+            directory_max_age,
             once,
             this: this.clone(),
         })
     }
 
     /// Serves a request that another entry handed over.
-    pub(crate) async fn serve_handed_over(&self, call: CallRequest) -> CallAnswer {
+    pub(crate) async fn serve_forwarded(&self, call: CallRequest) -> CallAnswer {
         self.serve(call, CallSource::Entry).await
     }
 
@@ -124,16 +124,16 @@
             Ok(prepared) => prepared,
             Err(reason) => return CallAnswer::refusal(400, CallOutcome::NotRun, &reason),
         };
-        let lane = self.roster.lanes.lane(&call.service);
-        let held_total = self.roster.lanes.held.load(Ordering::Relaxed);
-        if !self.admission.admits(spec.priority, held_total, lane.held()) {
+        let pool = self.catalog.pools.pool(&call.service);
+        let held_total = self.catalog.pools.held.load(Ordering::Relaxed);
+        if !self.admission.admits(spec.priority, held_total, pool.held()) {
             self.context.counters.calls.count("shed");
             return self.refuse_busy(stated_key, Duration::ZERO);
         }
-        let _held = lane.hold(&self.roster.lanes.held);
-        lane.note_request(spec);
+        let _held = pool.hold(&self.catalog.pools.held);
+        pool.note_request(spec);
         let deadline = Instant::now() + allowed_time(&call, spec);
-        let active = ActiveCall::new(call, stated_key, prepared, lane, deadline, source);
+        let active = ActiveCall::new(call, stated_key, prepared, pool, deadline, source);
         if is_repeatable {
             active.qualify(self.run_repeatable(&active).await)
         } else {
@@ -156,23 +156,23 @@
             return answer;
         }
         let mut excluded: SmallVec<[ServerName; 2]> = SmallVec::new();
-        let mut last = TryEnd::NotRun("no try yet".to_owned());
-        for number in 0..MAX_TRIES {
+        let mut last = AttemptEnd::NotRun("no try yet".to_owned());
+        for number in 0..MAX_ATTEMPTS {
             if number > 0 && !self.may_retry(active, &last) {
                 break;
             }
-            let prefers_cold = active.source == CallSource::Entry || active.lane.take_own_warm_up();
-            let acquired = active.lane.acquire(&excluded, prefers_cold, active.deadline).await;
+            let prefers_cold = active.source == CallSource::Entry || active.pool.take_own_warm_up();
+            let acquired = active.pool.acquire(&excluded, prefers_cold, active.deadline).await;
             let permit = match acquired {
                 Ok(permit) => permit,
-                Err(AcquireError::NoneEligible(stewards)) => {
-                    return self.run_elsewhere(active, stewards, last).await;
+                Err(AcquireError::NoneEligible(owners)) => {
+                    return self.run_elsewhere(active, owners, last).await;
                 }
                 Err(AcquireError::TooBusy(wait)) => return self.refuse_busy(None, wait),
             };
             excluded.push(permit.server.name.clone());
             last = self.run_hedged(active, permit, &excluded).await;
-            if let TryEnd::Answered(answer) = last {
+            if let AttemptEnd::Answered(answer) = last {
                 return answer;
             }
             let detail = format!("{last:?}");
@@ -189,17 +189,17 @@
         active: &ActiveCall,
         permit: ServerPermit,
         excluded: &[ServerName],
-    ) -> TryEnd {
+    ) -> AttemptEnd {
         let started = Instant::now();
         let half = active.deadline.saturating_duration_since(started) / 2;
         let first = self.runner.run(active, permit);
         tokio::pin!(first);
-        if let Some(delay) = active.lane.hedge_delay().filter(|delay| *delay < half) {
+        if let Some(delay) = active.pool.hedge_delay().filter(|delay| *delay < half) {
             tokio::select! {
                 end = &mut first => return end,
                 () = sleep_until((started + delay).into()) => {}
             }
-            if active.lane.take_hedge() {
+            if active.pool.take_hedge() {
                 return self.race(active, first, excluded).await;
             }
         }
@@ -207,7 +207,7 @@
             end = &mut first => return end,
             () = sleep_until((started + half).into()) => {}
         }
-        if active.lane.take_retry() {
+        if active.pool.take_retry() {
             return self.race(active, first, excluded).await;
         }
         first.await
@@ -218,10 +218,10 @@
     async fn race(
         &self,
         active: &ActiveCall,
-        mut first: Pin<&mut (impl Future<Output = TryEnd> + Send)>,
+        mut first: Pin<&mut (impl Future<Output = AttemptEnd> + Send)>,
         excluded: &[ServerName],
-    ) -> TryEnd {
-        let Some(permit) = active.lane.try_acquire(excluded) else {
+    ) -> AttemptEnd {
+        let Some(permit) = active.pool.try_acquire(excluded) else {
             return first.await;
         };
         self.context.counters.calls.count("hedged");
@@ -231,24 +231,24 @@
         tokio::pin!(second);
         tokio::select! {
             end = &mut first => match end {
-                TryEnd::Answered(_) => end,
+                AttemptEnd::Answered(_) => end,
                 _ => second.await,
             },
             end = &mut second => match end {
-                TryEnd::Answered(_) => end,
+                AttemptEnd::Answered(_) => end,
                 _ => first.await,
             },
         }
     }
 
-    fn may_retry(&self, active: &ActiveCall, last: &TryEnd) -> bool {
+    fn may_retry(&self, active: &ActiveCall, last: &AttemptEnd) -> bool {
         if Instant::now() >= active.deadline {
             return false;
         }
         match last {
-            TryEnd::Closed | TryEnd::Late | TryEnd::Answered(_) => false,
-            TryEnd::NotRun(_) | TryEnd::Unknown(_) => {
-                let is_granted = active.lane.take_retry();
+            AttemptEnd::Closed | AttemptEnd::Late | AttemptEnd::Answered(_) => false,
+            AttemptEnd::NotRun(_) | AttemptEnd::Unknown(_) => {
+                let is_granted = active.pool.take_retry();
                 let counted = if is_granted { "retried" } else { "retry-refused" };
                 self.context.counters.calls.count(counted);
                 is_granted
@@ -256,17 +256,17 @@
         }
     }
 
-    /// Gives a steward's cold servers a share of the work, so that they warm up.
+    /// Gives a shard owner's cold servers a share of the work, so that they warm up.
     async fn warm_up(&self, active: &ActiveCall) -> Option<CallAnswer> {
         if active.source == CallSource::Entry {
             return None;
         }
-        let steward = active.lane.take_warm_up()?;
+        let owner = active.pool.take_warm_up()?;
         // A cold server may be slow, so enough time is kept to run the request here after all.
         let now = Instant::now();
         let share = active.deadline.saturating_duration_since(now) / WARM_UP_DIVISOR;
-        match self.hand_over(active, &steward, now + share).await {
-            HandOverEnd::Answered(answer) if answer.outcome == CallOutcome::Ran => Some(answer),
+        match self.forward(active, &owner, now + share).await {
+            ForwardEnd::Answered(answer) if answer.outcome == CallOutcome::Ran => Some(answer),
             _ => None,
         }
     }
@@ -275,72 +275,72 @@
     async fn run_elsewhere(
         &self,
         active: &ActiveCall,
-        stewards: SmallVec<[EntryName; 2]>,
-        last: TryEnd,
+        owners: SmallVec<[EntryName; 2]>,
+        last: AttemptEnd,
     ) -> CallAnswer {
         if active.source == CallSource::Caller {
-            for steward in stewards {
-                if let HandOverEnd::Answered(answer) =
-                    self.hand_over(active, &steward, active.deadline).await
+            for owner in owners {
+                if let ForwardEnd::Answered(answer) =
+                    self.forward(active, &owner, active.deadline).await
                 {
                     return answer;
                 }
             }
         }
         match last {
-            TryEnd::NotRun(_) => self.refuse_busy(None, CLOSED_RETRY_AFTER),
+            AttemptEnd::NotRun(_) => self.refuse_busy(None, CLOSED_RETRY_AFTER),
             last => self.give_up(last),
         }
     }
 
     /// Hands a request over to another entry.
-    pub(crate) async fn hand_over(
+    pub(crate) async fn forward(
         &self,
         active: &ActiveCall,
         to: &EntryName,
         deadline: Instant,
-    ) -> HandOverEnd {
+    ) -> ForwardEnd {
         // While ranges move, a server may be listed under this entry before it may warm it up.
         if *to == self.context.name() {
-            return HandOverEnd::NotReached;
+            return ForwardEnd::NotReached;
         }
-        let Some(target) = self.roster.entry_target(to) else {
-            return HandOverEnd::NotReached;
+        let Some(target) = self.catalog.entry_target(to) else {
+            return ForwardEnd::NotReached;
         };
         // Handing over is starting work: it needs a fresh view like any other.
         if !self.context.is_open() {
-            return HandOverEnd::NotReached;
+            return ForwardEnd::NotReached;
         }
-        self.context.counters.calls.count("handed-over");
-        self.context.record_call(EventKind::CallHandedOver, active.call.id, format!("to {to}"));
+        self.context.counters.calls.count("forwarded");
+        self.context.record_call(EventKind::CallForwarded, active.call.id, format!("to {to}"));
         let deadline_ms = left_ms(deadline);
         let call = CallRequest { deadline_ms, ..active.call.clone() };
         let timeout = Duration::from_millis(u64::from(deadline_ms));
         active.note_sent();
-        match self.link.call(&target, PeerRequest::HandOver(call), timeout).await {
-            Ok(PeerAnswer::HandOver(answer)) => {
+        match self.link.call(&target, PeerRequest::CallForward(call), timeout).await {
+            Ok(PeerAnswer::CallForward(answer)) => {
                 if answer.outcome == CallOutcome::NotRun {
                     active.note_not_run();
                 }
-                HandOverEnd::Answered(*answer)
+                ForwardEnd::Answered(*answer)
             }
             Ok(_) | Err(PeerError::NotReached { .. }) => {
                 active.note_not_run();
-                HandOverEnd::NotReached
+                ForwardEnd::NotReached
             }
-            Err(error) => HandOverEnd::Unknown(error.to_string()),
+            Err(error) => ForwardEnd::Unknown(error.to_string()),
         }
     }
 
-    fn give_up(&self, last: TryEnd) -> CallAnswer {
+    fn give_up(&self, last: AttemptEnd) -> CallAnswer {
         match last {
-            TryEnd::Answered(answer) => answer,
-            TryEnd::Closed => self.refuse_closed(None),
-            TryEnd::NotRun(reason) => CallAnswer::refusal(503, CallOutcome::NotRun, &reason)
+            AttemptEnd::Answered(answer) => answer,
+            AttemptEnd::Closed => self.refuse_closed(None),
+            AttemptEnd::NotRun(reason) => CallAnswer::refusal(503, CallOutcome::NotRun, &reason)
                 .with_retry_after(self.retry_after_ms(Duration::ZERO)),
-            TryEnd::Unknown(reason) => CallAnswer::refusal(502, CallOutcome::Unknown, &reason)
+            AttemptEnd::Unknown(reason) => CallAnswer::refusal(502, CallOutcome::Unknown, &reason)
                 .with_retry_after(self.retry_after_ms(Duration::ZERO)),
-            TryEnd::Late => {
+            AttemptEnd::Late => {
                 CallAnswer::refusal(504, CallOutcome::Unknown, "no answer by the deadline")
                     .with_retry_after(self.retry_after_ms(Duration::ZERO))
             }
@@ -374,18 +374,18 @@
         self.serve(request, CallSource::Caller).await
     }
 
-    fn guide(&self, service: &ServiceName) -> GuideAnswer {
+    fn directory(&self, service: &ServiceName) -> DirectoryAnswer {
         let view = self.context.view();
-        let entries = rank_entries(&view, service, GUIDE_ENTRIES)
+        let entries = rank_entries(&view, service, DIRECTORY_ENTRIES)
             .into_iter()
-            .map(|entry| GuideEntry { name: entry.name.clone(), address: entry.caller_address })
+            .map(|entry| DirectoryEntry { name: entry.name.clone(), address: entry.caller_address })
             .collect();
-        GuideAnswer { entries, max_age_s: self.guide_max_age.as_secs() }
+        DirectoryAnswer { entries, max_age_s: self.directory_max_age.as_secs() }
     }
 
     fn other_entries(&self, service: &ServiceName) -> Vec<SocketAddr> {
         let (view, name) = (self.context.view(), self.context.name());
-        rank_entries(&view, service, GUIDE_ENTRIES + 1)
+        rank_entries(&view, service, DIRECTORY_ENTRIES + 1)
             .into_iter()
             .filter(|entry| entry.name != name)
             .map(|entry| entry.caller_address)
--- a/crates/entry/src/holder.rs
+++ b/crates/entry/src/holder.rs
@@ -1,6 +1,6 @@
 //! The view of this entry, as the keeper of its freshness sees it.
 
-use crate::{EntryContext, roster::ServerRoster};
+use crate::{EntryContext, catalog::ServerCatalog};
 use follow::ViewHolder;
 use std::{sync::Arc, time::Instant};
 use types::{ClusterView, EntryInfo};
@@ -8,12 +8,12 @@
 /// Passes views on to all parts that act on them.
 pub(crate) struct EntryViewHolder {
     context: Arc<EntryContext>,
-    roster: Arc<ServerRoster>,
+    catalog: Arc<ServerCatalog>,
 }
 
 impl EntryViewHolder {
-    pub(crate) fn new(context: Arc<EntryContext>, roster: Arc<ServerRoster>) -> Self {
-        Self { context, roster }
+    pub(crate) fn new(context: Arc<EntryContext>, catalog: Arc<ServerCatalog>) -> Self {
+        Self { context, catalog }
     }
 }
 
@@ -28,8 +28,8 @@
 
     fn install(&self, view: Arc<ClusterView>) {
         self.context.set_view(view.clone());
-        // Lanes must know of drains before the gate is confirmed for this view.
-        self.roster.view_changed(&view);
+        // Pools must know of drains before the gate is confirmed for this view.
+        self.catalog.view_changed(&view);
     }
 
     fn confirm(&self, sent: Instant) {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -3,17 +3,17 @@
 //! Decisions live in `policy`; this package wires them to links, connections and timers.
 
 mod active_call;
+mod attempts;
+mod catalog;
 mod claims;
 mod context;
 mod dispatch;
 mod holder;
-mod lane;
 mod node;
 mod once;
+mod owned_shards;
 mod prober;
-mod roster;
-mod steward;
-mod tries;
+mod service_pool;
 
 pub use claims::{ClaimError, ClaimLedger, ReplicatedLedger};
 pub use context::{EntryContext, EntryCounters};
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -1,8 +1,8 @@
 //! An entry as a whole: its parts, its tasks, and its planned stop.
 
 use crate::{
-    CallDispatcher, EntryContext, ReplicatedLedger, holder::EntryViewHolder, prober::ServerProber,
-    roster::ServerRoster,
+    CallDispatcher, EntryContext, ReplicatedLedger, catalog::ServerCatalog,
+    holder::EntryViewHolder, prober::ServerProber,
 };
 use caller::{CallerListener, IntakeError, IntakeSettings};
 use follow::{FreshnessKeeper, KeeperTools, LeaderFinder};
@@ -29,8 +29,8 @@
     pub load: LoadSettings,
     /// Limits of the intake.
     pub intake: IntakeSettings,
-    /// How long callers may keep the guide's answer.
-    pub guide_max_age: Duration,
+    /// How long callers may keep the directory's answer.
+    pub directory_max_age: Duration,
     /// The longest wait for requests in flight at a planned stop.
     pub stop_grace: Duration,
 }
@@ -54,11 +54,11 @@
 /// A running entry.
 pub struct EntryNode {
     context: Arc<EntryContext>,
-    roster: Arc<ServerRoster>,
+    catalog: Arc<ServerCatalog>,
     dispatcher: Arc<CallDispatcher>,
     stop: Arc<Notify>,
     callers: tokio::sync::Mutex<Option<tokio::task::JoinHandle<bool>>>,
-    guide_max_age: Duration,
+    directory_max_age: Duration,
 }
 
 impl EntryNode {
@@ -69,17 +69,18 @@
     ) -> Result<Arc<Self>, EntryError> {
         let link = settings.link;
         let leader = Arc::new(LeaderFinder::new(link.clone(), settings.replicas));
-        let roster = ServerRoster::new(context.clone(), link.clone(), settings.load);
+        let catalog = ServerCatalog::new(context.clone(), link.clone(), settings.load);
         let ledger = Arc::new(ReplicatedLedger::new(leader.clone()));
-        let prober = ServerProber::new(context.clone(), roster.clone(), settings.transport.clone());
+        let prober =
+            ServerProber::new(context.clone(), catalog.clone(), settings.transport.clone());
         let dispatcher = CallDispatcher::new(
             context.clone(),
-            roster.clone(),
+            catalog.clone(),
             settings.transport,
             link,
             ledger,
             AdmissionGate::new(settings.admission),
-            settings.guide_max_age,
+            settings.directory_max_age,
         );
         let (caller_address, server_address) = {
             let info = context.info.read();
@@ -96,8 +97,8 @@
             .await
             .map_err(|source| EntryError::Announce { address: server_address, source })?;
         let counters = context.counters.servers.clone();
-        tokio::spawn(serve_announcements(announcements, roster.clone(), counters));
-        tokio::spawn(roster.clone().run());
+        tokio::spawn(serve_announcements(announcements, catalog.clone(), counters));
+        tokio::spawn(catalog.clone().run());
         tokio::spawn(prober.run());
         let tools = KeeperTools {
             counters: context.counters.freshness.clone(),
@@ -105,14 +106,14 @@
             logger: context.logger.clone(),
             timer: context.timer.clone(),
         };
-        let holder = Arc::new(EntryViewHolder::new(context.clone(), roster.clone()));
+        let holder = Arc::new(EntryViewHolder::new(context.clone(), catalog.clone()));
         let keeper = FreshnessKeeper::new(holder, leader, tools);
         tokio::spawn(keeper.run());
         let stop = Arc::new(Notify::new());
         let callers = tokio::spawn(listener.serve(stop.clone(), settings.stop_grace));
         let callers = tokio::sync::Mutex::new(Some(callers));
-        let guide_max_age = settings.guide_max_age;
-        Ok(Arc::new(Self { context, roster, dispatcher, stop, callers, guide_max_age }))
+        let directory_max_age = settings.directory_max_age;
+        Ok(Arc::new(Self { context, catalog, dispatcher, stop, callers, directory_max_age }))
     }
 
     /// Returns the view of this entry.
@@ -122,7 +123,7 @@
 
     /// Returns all servers as this entry knows them.
     pub fn servers(&self) -> Vec<ServerView> {
-        self.roster.server_views()
+        self.catalog.server_views()
     }
 
     /// Says whether the entry takes new work.
@@ -134,35 +135,37 @@
     pub async fn handle(&self, host: &HostName, request: PeerRequest) -> Option<PeerAnswer> {
         match request {
             PeerRequest::Beat(beat) => {
-                self.roster.observe_beat(host, &beat);
+                self.catalog.observe_beat(host, &beat);
                 Some(PeerAnswer::Done)
             }
-            PeerRequest::Book(request) => Some(PeerAnswer::Book(self.roster.delta(&request))),
+            PeerRequest::Registry(request) => {
+                Some(PeerAnswer::Registry(self.catalog.delta(&request)))
+            }
             PeerRequest::Announce(announcement) => {
-                Some(match self.roster.announce_here(&announcement) {
+                Some(match self.catalog.announce_here(&announcement) {
                     Ok(()) => PeerAnswer::Done,
                     Err(reason) => PeerAnswer::Refused(reason),
                 })
             }
             PeerRequest::Suspect(report) => {
-                self.roster.take_suspicion(&report);
+                self.catalog.take_suspicion(&report);
                 Some(PeerAnswer::Done)
             }
-            PeerRequest::HandOver(call) => {
-                let answer = self.dispatcher.serve_handed_over(call).await;
-                Some(PeerAnswer::HandOver(Box::new(answer)))
+            PeerRequest::CallForward(call) => {
+                let answer = self.dispatcher.serve_forwarded(call).await;
+                Some(PeerAnswer::CallForward(Box::new(answer)))
             }
             _ => None,
         }
     }
 
-    /// Stops without cutting off a request: leaves the guide, serves on while callers may keep
+    /// Stops without cutting off a request: leaves the directory, serves on while callers may keep
     /// its former answers, then closes. Returns whether all requests in flight finished.
     pub async fn stop(&self) -> bool {
         let tags = EventTags::default();
         self.context.timeline.record(EventKind::StopBegun, tags, String::new());
         self.context.info.write().serving = false;
-        sleep(self.guide_max_age + types::FRESHNESS_LIMIT).await;
+        sleep(self.directory_max_age + types::FRESHNESS_LIMIT).await;
         self.stop.notify_one();
         match self.callers.lock().await.take() {
             Some(callers) => callers.await.unwrap_or(false),
--- a/crates/entry/src/once.rs
+++ b/crates/entry/src/once.rs
@@ -3,10 +3,10 @@
 use crate::{
     EntryContext,
     active_call::{ActiveCall, CallSource},
+    attempts::{AttemptEnd, TryRunner},
     claims::{ClaimError, ClaimLedger},
-    dispatch::{CallDispatcher, HandOverEnd, MAX_TRIES, unseen_outcome, with_key},
-    lane::AcquireError,
-    tries::{TryEnd, TryRunner},
+    dispatch::{CallDispatcher, ForwardEnd, MAX_ATTEMPTS, unseen_outcome, with_key},
+    service_pool::AcquireError,
 };
 use runtime::EventKind;
 use smallvec::SmallVec;
@@ -54,14 +54,14 @@
         if active.source == CallSource::Entry {
             return None;
         }
-        for steward in active.lane.stewards_instead()? {
-            match dispatcher.hand_over(active, &steward, active.deadline).await {
-                HandOverEnd::NotReached => {}
-                HandOverEnd::Answered(mut answer) => {
+        for owner in active.pool.owners_instead()? {
+            match dispatcher.forward(active, &owner, active.deadline).await {
+                ForwardEnd::NotReached => {}
+                ForwardEnd::Answered(mut answer) => {
                     answer.headers.retain(|field| field.name != header::IDEMPOTENCY_KEY);
                     return Some(answer);
                 }
-                HandOverEnd::Unknown(reason) => {
+                ForwardEnd::Unknown(reason) => {
                     return Some(CallAnswer::refusal(504, CallOutcome::Unknown, &reason));
                 }
             }
@@ -88,45 +88,45 @@
             }
         }
         match self.run_granted(active).await {
-            TryEnd::Answered(answer) => {
+            AttemptEnd::Answered(answer) => {
                 let status = answer.status;
                 let ClaimRequest { key, attempt, .. } = claim;
                 self.ledger.finish(ClaimResult { key, attempt, status });
                 answer
             }
-            TryEnd::NotRun(reason) => {
+            AttemptEnd::NotRun(reason) => {
                 self.release(&active.call, &claim);
                 CallAnswer::refusal(503, CallOutcome::NotRun, &reason)
                     .with_retry_after(dispatcher.retry_after_ms(Duration::ZERO))
             }
-            TryEnd::Closed => {
+            AttemptEnd::Closed => {
                 self.release(&active.call, &claim);
                 dispatcher.refuse_closed(None)
             }
-            TryEnd::Unknown(reason) => CallAnswer::refusal(502, CallOutcome::Unknown, &reason),
-            TryEnd::Late => {
+            AttemptEnd::Unknown(reason) => CallAnswer::refusal(502, CallOutcome::Unknown, &reason),
+            AttemptEnd::Late => {
                 CallAnswer::refusal(504, CallOutcome::Unknown, "no answer by the deadline")
             }
         }
     }
 
     /// Tries servers until one may have run the request.
-    async fn run_granted(&self, active: &ActiveCall) -> TryEnd {
+    async fn run_granted(&self, active: &ActiveCall) -> AttemptEnd {
         let mut excluded: SmallVec<[ServerName; 2]> = SmallVec::new();
-        let mut last = TryEnd::NotRun("no server has room".to_owned());
-        for _ in 0..MAX_TRIES {
+        let mut last = AttemptEnd::NotRun("no server has room".to_owned());
+        for _ in 0..MAX_ATTEMPTS {
             if Instant::now() >= active.deadline {
                 return last;
             }
             let prefers_cold = active.source == CallSource::Entry;
-            let acquired = active.lane.acquire(&excluded, prefers_cold, active.deadline).await;
+            let acquired = active.pool.acquire(&excluded, prefers_cold, active.deadline).await;
             let permit = match acquired {
                 Ok(permit) => permit,
                 Err(AcquireError::NoneEligible(_) | AcquireError::TooBusy(_)) => return last,
             };
             excluded.push(permit.server.name.clone());
             last = self.runner.run(active, permit).await;
-            if !matches!(last, TryEnd::NotRun(_)) {
+            if !matches!(last, AttemptEnd::NotRun(_)) {
                 return last;
             }
             let detail = format!("{last:?}");
--- a/crates/entry/src/steward.rs
+++ b/crates/entry/src/owned_shards.rs
@@ -1,16 +1,16 @@
-//! This entry's part as a steward: the servers in its ranges.
+//! This entry's part as a shard owner: the servers in its ranges.
 
 use crate::EntryContext;
 use parking_lot::Mutex;
-use policy::{AnnounceOutcome, ServerBook};
+use policy::{AnnounceOutcome, ServerRegistry};
 use std::{
     collections::BTreeMap,
     sync::Arc,
     time::{Duration, Instant},
 };
 use types::{
-    Announcement, BookDelta, BookRequest, ClusterView, FRESHNESS_LIMIT, RangeIndex, RangeLease,
-    ServerIncarnation, ServerName, ServerRecord, ServerStage, ServiceName, StewardBeat,
+    Announcement, ClusterView, FRESHNESS_LIMIT, OwnerBeat, RangeIndex, RangeLease, RegistryDelta,
+    RegistryRequest, ServerIncarnation, ServerName, ServerRecord, ServerStage, ServiceName,
     SuspectReport, server_range,
 };
 
@@ -18,27 +18,27 @@
 #[derive(Debug, Clone, Copy)]
 struct OwnRange {
     acquired: Instant,
-    /// No steward before this one can have given work to cold servers.
+    /// No owner before this one can have given work to cold servers.
     is_first: bool,
 }
 
-/// The book of this entry and the ranges that it covers.
-pub(crate) struct StewardDesk {
+/// The registry of this entry and the ranges that it covers.
+pub(crate) struct OwnedShards {
     context: Arc<EntryContext>,
-    book: Mutex<ServerBook>,
+    registry: Mutex<ServerRegistry>,
     ranges: Mutex<BTreeMap<RangeIndex, OwnRange>>,
 }
 
-impl StewardDesk {
+impl OwnedShards {
     pub(crate) fn new(context: Arc<EntryContext>) -> Self {
-        let book = Mutex::new(ServerBook::new(context.steward_id()));
-        Self { context, book, ranges: Mutex::default() }
+        let registry = Mutex::new(ServerRegistry::new(context.owner_id()));
+        Self { context, registry, ranges: Mutex::default() }
     }
 
-    /// Takes new ranges over, with the servers that their former stewards told of.
+    /// Takes new ranges over, with the servers that their former owners told of.
     ///
-    /// Servers in ranges that went to others stay in the book until their announcements run out:
-    /// entries go by it until the new steward tells of them.
+    /// Servers in ranges that went to others stay in the registry until their announcements run out:
+    /// entries go by it until the new owner tells of them.
     pub(crate) fn view_changed(
         &self,
         view: &ClusterView,
@@ -57,18 +57,18 @@
         self.adopt(known.values().copied());
     }
 
-    /// Takes servers over that lie in this entry's ranges and that its book does not have. Returns
+    /// Takes servers over that lie in this entry's ranges and that its registry does not have. Returns
     /// whether there are any.
     pub(crate) fn adopt<'a>(&self, records: impl Iterator<Item = &'a ServerRecord>) -> bool {
         let ranges = self.ranges.lock();
-        let mut book = self.book.lock();
-        let (before, now) = (book.version(), Instant::now());
+        let mut registry = self.registry.lock();
+        let (before, now) = (registry.version(), Instant::now());
         for record in records {
             if ranges.contains_key(&server_range(&record.announcement.server)) {
-                book.adopt(record, now);
+                registry.adopt(record, now);
             }
         }
-        book.version() != before
+        registry.version() != before
     }
 
     /// Takes an announcement in.
@@ -81,37 +81,37 @@
             .filter(|record| record.announcement.incarnation == announcement.incarnation)
             .filter(|record| record.stage == ServerStage::Warm)
             .map(|record| record.stage);
-        self.book.lock().announce(announcement, known_stage, Instant::now())
+        self.registry.lock().announce(announcement, known_stage, Instant::now())
     }
 
     /// Marks a server as warm. Returns whether that is news.
     pub(crate) fn mark_warm(&self, server: &ServerName, incarnation: ServerIncarnation) -> bool {
-        self.book.lock().mark_warm(server, incarnation)
+        self.registry.lock().mark_warm(server, incarnation)
     }
 
     /// Takes a suspicion in. Returns whether it changed anything.
     pub(crate) fn suspect(&self, report: &SuspectReport) -> bool {
-        self.book.lock().suspect(report)
+        self.registry.lock().suspect(report)
     }
 
     /// Removes the servers whose announcements have run out, and returns those in own ranges.
     pub(crate) fn expire(&self) -> Vec<ServerName> {
-        let mut expired = self.book.lock().expire(Instant::now());
+        let mut expired = self.registry.lock().expire(Instant::now());
         let ranges = self.ranges.lock();
         expired.retain(|server| ranges.contains_key(&server_range(server)));
         expired
     }
 
-    pub(crate) fn beat(&self) -> StewardBeat {
-        let book = self.book.lock();
-        StewardBeat { steward: book.steward().clone(), version: book.version() }
+    pub(crate) fn beat(&self) -> OwnerBeat {
+        let registry = self.registry.lock();
+        OwnerBeat { owner: registry.owner().clone(), version: registry.version() }
     }
 
-    pub(crate) fn delta(&self, request: &BookRequest) -> BookDelta {
-        self.book.lock().delta(request)
+    pub(crate) fn delta(&self, request: &RegistryRequest) -> RegistryDelta {
+        self.registry.lock().delta(request)
     }
 
-    /// Says whether this entry may give a cold server work: a former steward may still have
+    /// Says whether this entry may give a cold server work: a former owner may still have
     /// requests of its own running there until its view and their deadlines have run out.
     pub(crate) fn may_warm(&self, server: &ServerName, timeout: Duration) -> bool {
         let ranges = self.ranges.lock();
@@ -123,18 +123,18 @@
     /// Returns the warm servers in own ranges.
     pub(crate) fn own_warm_servers(&self) -> Vec<ServerRecord> {
         let ranges = self.ranges.lock();
-        let book = self.book.lock();
+        let registry = self.registry.lock();
         let is_own = |record: &&ServerRecord| {
             record.stage == ServerStage::Warm
                 && ranges.contains_key(&server_range(&record.announcement.server))
         };
-        book.records().filter(is_own).cloned().collect()
+        registry.records().filter(is_own).cloned().collect()
     }
 
-    /// Returns the services with cold servers in this book.
+    /// Returns the services with cold servers in this registry.
     pub(crate) fn cold_services(&self) -> Vec<ServiceName> {
-        let book = self.book.lock();
-        let mut services: Vec<ServiceName> = book
+        let registry = self.registry.lock();
+        let mut services: Vec<ServiceName> = registry
             .records()
             .filter(|record| record.stage == ServerStage::Cold)
             .map(|record| record.announcement.service.clone())
--- a/crates/entry/src/prober.rs
+++ b/crates/entry/src/prober.rs
@@ -1,10 +1,10 @@
 //! Probes of this entry's own servers, within the agreed budget of each.
 //!
-//! Only a server's steward probes it, and only while its view is fresh, so the budget needs no
+//! Only a server's owner probes it, and only while its view is fresh, so the budget needs no
 //! coordination. Probes say just whether a server can be reached at all: load comes free on
 //! answers, and a server that has answered this entry lately is not probed.
 
-use crate::{EntryContext, roster::ServerRoster};
+use crate::{EntryContext, catalog::ServerCatalog};
 use http::{HeaderMap, Method, uri::PathAndQuery};
 use parking_lot::Mutex;
 use policy::ProbeBudget;
@@ -32,7 +32,7 @@
 /// Probes the servers that this entry looks after.
 pub(crate) struct ServerProber {
     context: Arc<EntryContext>,
-    roster: Arc<ServerRoster>,
+    catalog: Arc<ServerCatalog>,
     transport: Arc<dyn ServerTransport>,
     budgets: Mutex<BTreeMap<ServerName, ServerBudget>>,
 }
@@ -40,10 +40,10 @@
 impl ServerProber {
     pub(crate) fn new(
         context: Arc<EntryContext>,
-        roster: Arc<ServerRoster>,
+        catalog: Arc<ServerCatalog>,
         transport: Arc<dyn ServerTransport>,
     ) -> Arc<Self> {
-        Arc::new(Self { context, roster, transport, budgets: Mutex::default() })
+        Arc::new(Self { context, catalog, transport, budgets: Mutex::default() })
     }
 
     pub(crate) async fn run(self: Arc<Self>) {
@@ -62,7 +62,7 @@
     /// Returns the servers to probe now, and counts the probes against their budgets.
     fn take_due(&self, now: Instant) -> Vec<ServerRecord> {
         let view = self.context.view();
-        let records = self.roster.own_warm_servers();
+        let records = self.catalog.own_warm_servers();
         let mut budgets = self.budgets.lock();
         let mut kept = BTreeMap::new();
         let mut due = Vec::new();
@@ -71,12 +71,12 @@
             let spec = view.service(&announcement.service);
             let rate = spec.map_or(0, |spec| spec.probes_per_minute);
             let former = budgets.remove(&announcement.server).filter(|known| known.rate == rate);
-            // A former steward may go on until its view runs out.
+            // A former owner may go on until its view runs out.
             let mut known = former.unwrap_or_else(|| ServerBudget {
                 rate,
                 budget: ProbeBudget::new(rate, now + FRESHNESS_LIMIT),
             });
-            if !self.roster.has_answered_lately(&record, now) && known.budget.take(now) {
+            if !self.catalog.has_answered_lately(&record, now) && known.budget.take(now) {
                 due.push(record.clone());
             }
             kept.insert(announcement.server.clone(), known);
@@ -95,7 +95,7 @@
         counters.count("probe-failed");
         let detail = "probe failed".to_owned();
         self.context.record_server(EventKind::ServerSuspected, &announcement.server, detail);
-        self.roster.take_suspicion(&SuspectReport {
+        self.catalog.take_suspicion(&SuspectReport {
             server: announcement.server.clone(),
             incarnation: announcement.incarnation,
             kind: SuspectKind::Unreachable,
--- a/crates/entry/src/lane.rs
+++ b/crates/entry/src/service_pool.rs
@@ -1,10 +1,10 @@
-//! The lane of a service: its servers, the requests that wait for one, and its budgets.
+//! The pool of a service: its servers, the requests that wait for one, and its budgets.
 
 use crate::EntryContext;
 use parking_lot::Mutex;
 use policy::{
-    LatencyTracker, LoadSettings, PickResult, PickedServer, ReleaseNotes, RetryBudget, ServerView,
-    ServiceLoad, StatedLoad, TryOutcome, expected_wait,
+    AttemptOutcome, LatencyTracker, LoadSettings, PickResult, PickedServer, ReleaseNotes,
+    RetryBudget, ServerView, ServiceLoad, StatedLoad, expected_wait,
 };
 use runtime::EventKind;
 use smallvec::SmallVec;
@@ -19,12 +19,12 @@
 use tokio::{sync::oneshot, time::timeout_at};
 use types::{EntryName, ServerIncarnation, ServerName, ServiceName, ServiceSpec, SuspectKind};
 
-/// Number of independently locked parts of the table of lanes.
+/// Number of independently locked parts of the table of pools.
 const SHARD_COUNT: usize = 16;
 /// Least time between two requests by which an entry warms a service's cold servers.
 const WARM_UP_INTERVAL: Duration = Duration::from_millis(10);
 
-/// Answers after which the latency of a lane counts as known.
+/// Answers after which the latency of a pool counts as known.
 const LATENCY_SAMPLES: u64 = 100;
 /// A try that is given up after this multiple of the 95th percentile counts against its server.
 const LATE_FACTOR: u32 = 4;
@@ -38,7 +38,7 @@
 /// Says why no server could be had.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum AcquireError {
-    /// No server may be given work here; these stewards have cold ones.
+    /// No server may be given work here; these owners have cold ones.
     NoneEligible(SmallVec<[EntryName; 2]>),
     /// The wait would be, or was, too long. Holds the wait to expect.
     TooBusy(Duration),
@@ -50,8 +50,8 @@
     fn server_warmed(&self, server: &ServerName, incarnation: ServerIncarnation);
     /// The server is suspected.
     fn server_suspected(&self, server: &PickedServer, kind: SuspectKind);
-    /// Says whether a steward's word still holds.
-    fn is_confirmed(&self, steward: &EntryName) -> bool;
+    /// Says whether a shard owner's word still holds.
+    fn is_confirmed(&self, owner: &EntryName) -> bool;
 }
 
 struct Waiter {
@@ -60,7 +60,7 @@
     sender: oneshot::Sender<ServerPermit>,
 }
 
-struct LaneState {
+struct PoolState {
     load: ServiceLoad,
     waiting: VecDeque<Waiter>,
     retries: RetryBudget,
@@ -71,16 +71,16 @@
 }
 
 /// All that an entry holds of one service.
-pub(crate) struct ServiceLane {
+pub(crate) struct ServicePool {
     context: Arc<EntryContext>,
     observer: Weak<dyn ServerObserver>,
-    state: Mutex<LaneState>,
+    state: Mutex<PoolState>,
     held: AtomicUsize,
 }
 
 /// The right to send one request to a server. Ends when it is finished or dropped.
 pub(crate) struct ServerPermit {
-    lane: Arc<ServiceLane>,
+    pool: Arc<ServicePool>,
     pub(crate) server: PickedServer,
     taken: Instant,
     is_finished: bool,
@@ -88,9 +88,9 @@
 
 impl ServerPermit {
     /// Notes how the request ended.
-    pub(crate) fn finish(mut self, outcome: TryOutcome, stated: &StatedLoad) {
+    pub(crate) fn finish(mut self, outcome: AttemptOutcome, stated: &StatedLoad) {
         self.is_finished = true;
-        self.lane.clone().release(&self.server, outcome, stated);
+        self.pool.clone().release(&self.server, outcome, stated);
     }
 }
 
@@ -98,33 +98,33 @@
     fn drop(&mut self) {
         if !self.is_finished {
             // A try that is given up says something of its server only if it took very long.
-            let is_late = self.lane.late_limit().is_some_and(|limit| self.taken.elapsed() > limit);
-            let outcome = if is_late { TryOutcome::Late } else { TryOutcome::Cancelled };
-            self.lane.clone().release(&self.server, outcome, &StatedLoad::default());
+            let is_late = self.pool.late_limit().is_some_and(|limit| self.taken.elapsed() > limit);
+            let outcome = if is_late { AttemptOutcome::Late } else { AttemptOutcome::Cancelled };
+            self.pool.clone().release(&self.server, outcome, &StatedLoad::default());
         }
     }
 }
 
-/// Counts a request as held by its lane while it lives.
+/// Counts a request as held by its pool while it lives.
 pub(crate) struct HeldRequest {
-    lane: Arc<ServiceLane>,
+    pool: Arc<ServicePool>,
     total: Arc<AtomicUsize>,
 }
 
 impl Drop for HeldRequest {
     fn drop(&mut self) {
-        self.lane.held.fetch_sub(1, Ordering::Relaxed);
+        self.pool.held.fetch_sub(1, Ordering::Relaxed);
         self.total.fetch_sub(1, Ordering::Relaxed);
     }
 }
 
-impl ServiceLane {
+impl ServicePool {
     fn new(
         context: Arc<EntryContext>,
         observer: Weak<dyn ServerObserver>,
         settings: LoadSettings,
     ) -> Self {
-        let state = LaneState {
+        let state = PoolState {
             load: ServiceLoad::new(settings),
             waiting: VecDeque::new(),
             retries: RetryBudget::new(0),
@@ -140,7 +140,7 @@
     pub(crate) fn hold(self: &Arc<Self>, total: &Arc<AtomicUsize>) -> HeldRequest {
         self.held.fetch_add(1, Ordering::Relaxed);
         total.fetch_add(1, Ordering::Relaxed);
-        HeldRequest { lane: self.clone(), total: total.clone() }
+        HeldRequest { pool: self.clone(), total: total.clone() }
     }
 
     /// Returns the number of requests held.
@@ -195,7 +195,7 @@
         self.serve_waiting();
     }
 
-    /// Returns the steward to hand a request over to so that its cold servers get work, if it is
+    /// Returns the owner to hand a request over to so that its cold servers get work, if it is
     /// time to.
     pub(crate) fn take_warm_up(&self) -> Option<EntryName> {
         let observer = self.observer.upgrade()?;
@@ -205,18 +205,18 @@
         if state.last_warm_up.is_some_and(is_recent) {
             return None;
         }
-        let stewards = state.load.cold_stewards(|steward| observer.is_confirmed(steward));
-        let count = stewards.len();
+        let owners = state.load.cold_owners(|owner| observer.is_confirmed(owner));
+        let count = owners.len();
         if count == 0 {
             return None;
         }
         state.last_warm_up = Some(now);
         drop(state);
         let chosen = self.context.with_rng(|rng| rand::Rng::random_range(rng, 0..count));
-        stewards.into_iter().nth(chosen)
+        owners.into_iter().nth(chosen)
     }
 
-    /// Says whether it is time to give one of this steward's own cold servers a request. The choice
+    /// Says whether it is time to give one of this owner's own cold servers a request. The choice
     /// by latency alone would leave them cold where few requests come.
     pub(crate) fn take_own_warm_up(&self) -> bool {
         let now = Instant::now();
@@ -234,15 +234,15 @@
         self.state.lock().load.has_answered_lately(server, now)
     }
 
-    /// Returns the stewards that may give cold servers work, if this entry may give none any.
-    pub(crate) fn stewards_instead(&self) -> Option<SmallVec<[EntryName; 2]>> {
+    /// Returns the owners that may give cold servers work, if this entry may give none any.
+    pub(crate) fn owners_instead(&self) -> Option<SmallVec<[EntryName; 2]>> {
         let observer = self.observer.upgrade()?;
-        let is_confirmed = |steward: &EntryName| observer.is_confirmed(steward);
+        let is_confirmed = |owner: &EntryName| observer.is_confirmed(owner);
         let state = self.state.lock();
         if state.load.has_eligible(is_confirmed, Instant::now()) {
             return None;
         }
-        Some(state.load.cold_stewards(is_confirmed))
+        Some(state.load.cold_owners(is_confirmed))
     }
 
     /// Waits for a server, first come first served.
@@ -258,8 +258,8 @@
             if state.waiting.is_empty() {
                 match self.pick(&mut state, excluded, prefers_cold) {
                     PickResult::Picked(server) => return Ok(self.permit(server)),
-                    PickResult::NoneEligible { cold_stewards } => {
-                        return Err(AcquireError::NoneEligible(cold_stewards));
+                    PickResult::NoneEligible { cold_owners } => {
+                        return Err(AcquireError::NoneEligible(cold_owners));
                     }
                     PickResult::Busy => {}
                 }
@@ -297,27 +297,32 @@
     }
 
     fn permit(self: &Arc<Self>, server: PickedServer) -> ServerPermit {
-        ServerPermit { lane: self.clone(), server, taken: Instant::now(), is_finished: false }
+        ServerPermit { pool: self.clone(), server, taken: Instant::now(), is_finished: false }
     }
 
     fn pick(
         &self,
-        state: &mut LaneState,
+        state: &mut PoolState,
         excluded: &[ServerName],
         prefers_cold: bool,
     ) -> PickResult {
         let Some(observer) = self.observer.upgrade() else {
-            return PickResult::NoneEligible { cold_stewards: SmallVec::new() };
+            return PickResult::NoneEligible { cold_owners: SmallVec::new() };
         };
-        let is_confirmed = |steward: &EntryName| observer.is_confirmed(steward);
+        let is_confirmed = |owner: &EntryName| observer.is_confirmed(owner);
         let now = Instant::now();
         self.context.with_rng(|rng| state.load.pick(excluded, prefers_cold, is_confirmed, now, rng))
     }
 
-    fn release(self: Arc<Self>, server: &PickedServer, outcome: TryOutcome, stated: &StatedLoad) {
+    fn release(
+        self: Arc<Self>,
+        server: &PickedServer,
+        outcome: AttemptOutcome,
+        stated: &StatedLoad,
+    ) {
         let notes = {
             let mut state = self.state.lock();
-            if let TryOutcome::Success(latency) = outcome {
+            if let AttemptOutcome::Success(latency) = outcome {
                 state.latency.note(latency);
             }
             state.load.release(server, outcome, stated, Instant::now())
@@ -373,23 +378,23 @@
                 let mut state = self.state.lock();
                 let stated = StatedLoad::default();
                 let now = Instant::now();
-                state.load.release(&unused.server, TryOutcome::Cancelled, &stated, now);
+                state.load.release(&unused.server, AttemptOutcome::Cancelled, &stated, now);
             }
         }
     }
 }
 
-/// The lanes of all services, in shards under their own locks.
-pub(crate) struct LaneTable {
+/// The pools of all services, in shards under their own locks.
+pub(crate) struct PoolTable {
     context: Arc<EntryContext>,
     observer: Weak<dyn ServerObserver>,
     settings: LoadSettings,
-    shards: [Mutex<HashMap<ServiceName, Arc<ServiceLane>>>; SHARD_COUNT],
-    /// Requests held over all lanes.
+    shards: [Mutex<HashMap<ServiceName, Arc<ServicePool>>>; SHARD_COUNT],
+    /// Requests held over all pools.
     pub(crate) held: Arc<AtomicUsize>,
 }
 
-impl LaneTable {
+impl PoolTable {
     pub(crate) fn new(
         context: Arc<EntryContext>,
         observer: Weak<dyn ServerObserver>,
@@ -399,21 +404,21 @@
         Self { context, observer, settings, shards, held: Arc::default() }
     }
 
-    /// Returns the lane of a service.
-    pub(crate) fn lane(&self, service: &ServiceName) -> Arc<ServiceLane> {
+    /// Returns the pool of a service.
+    pub(crate) fn pool(&self, service: &ServiceName) -> Arc<ServicePool> {
         let shard = service.as_str().bytes().fold(0_usize, |sum, byte| sum + usize::from(byte));
-        let mut lanes = self.shards[shard % SHARD_COUNT].lock();
-        if let Some(lane) = lanes.get(service) {
-            return lane.clone();
+        let mut pools = self.shards[shard % SHARD_COUNT].lock();
+        if let Some(pool) = pools.get(service) {
+            return pool.clone();
         }
-        let lane =
-            ServiceLane::new(self.context.clone(), self.observer.clone(), self.settings.clone());
-        let lane = Arc::new(lane);
-        lanes.insert(service.clone(), lane.clone());
-        lane
+        let pool =
+            ServicePool::new(self.context.clone(), self.observer.clone(), self.settings.clone());
+        let pool = Arc::new(pool);
+        pools.insert(service.clone(), pool.clone());
+        pool
     }
 
-    /// Returns all services that have a lane.
+    /// Returns all services that have a pool.
     pub(crate) fn services(&self) -> Vec<ServiceName> {
         let names = |shard: &Mutex<HashMap<ServiceName, _>>| -> Vec<ServiceName> {
             shard.lock().keys().cloned().collect()
@@ -422,7 +427,7 @@
     }
 }
 
-/// When a steward was last heard of, shared between the directory and all lanes.
+/// When a shard owner was last heard of, shared between the directory and all pools.
 #[derive(Debug)]
 pub(crate) struct BeatClock {
     origin: Instant,
--- a/crates/gateway/tests/harness/mod.rs
+++ b/crates/gateway/tests/harness/mod.rs
@@ -326,7 +326,7 @@
             peer_address: address,
             operator_address: address,
             serving: true,
-            is_steward: false,
+            owns_shards: false,
         };
         let mut state = ClusterState::default();
         state.apply(LogTime(1), &Command::PutEntry(info.clone()));
--- a/crates/operator/src/pages.rs
+++ b/crates/operator/src/pages.rs
@@ -50,7 +50,7 @@
     /// How much work it may be given.
     pub stage: ServerStage,
     /// The entry that looks after it.
-    pub steward: EntryName,
+    pub owner: EntryName,
 }
 
 /// The configuration in force.
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -5,8 +5,8 @@
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use types::{
-    Announcement, BookDelta, BookRequest, CallAnswer, CallRequest, Command, CommandAnswer,
-    EntryInfo, HostName, ServerIncarnation, ServerName, StewardBeat, SuspectReport, ViewUpdate,
+    Announcement, CallAnswer, CallRequest, Command, CommandAnswer, EntryInfo, HostName, OwnerBeat,
+    RegistryDelta, RegistryRequest, ServerIncarnation, ServerName, SuspectReport, ViewUpdate,
     ViewVersion,
 };
 
@@ -21,16 +21,16 @@
     Submit(Command),
     /// Asks the leader to change the set of replicas.
     ChangeMembership(MembershipChange),
-    /// A steward shows that it is alive; has no answer.
-    Beat(StewardBeat),
-    /// Asks a steward for changes of its book.
-    Book(BookRequest),
-    /// Passes an announcement on to the server's steward.
+    /// A shard owner shows that it is alive; has no answer.
+    Beat(OwnerBeat),
+    /// Asks a shard owner for changes of its registry.
+    Registry(RegistryRequest),
+    /// Passes an announcement on to the server's owner.
     Announce(Announcement),
-    /// Tells a steward about a suspected server; has no answer.
+    /// Tells a shard owner about a suspected server; has no answer.
     Suspect(SuspectReport),
     /// Hands a request over to another entry.
-    HandOver(CallRequest),
+    CallForward(CallRequest),
     /// Tells the leader which servers were heard of; has no answer.
     ServersSeen(Vec<(ServerName, ServerIncarnation)>),
 }
@@ -57,10 +57,10 @@
     Freshness(Box<FreshnessAnswer>),
     /// To a command or a change of the set of replicas.
     Submit(SubmitAnswer),
-    /// To a book request.
-    Book(BookDelta),
-    /// To a handed-over request.
-    HandOver(Box<CallAnswer>),
+    /// To a registry request.
+    Registry(RegistryDelta),
+    /// To a forwarded request.
+    CallForward(Box<CallAnswer>),
     /// The request is not for this process, or not allowed for the sender.
     Refused(String),
 }
--- a/crates/peer/src/node.rs
+++ b/crates/peer/src/node.rs
@@ -52,7 +52,7 @@
 
 /// Open links, and the traffic of those that have closed.
 #[derive(Default)]
-struct TrafficBook {
+struct TrafficTotals {
     open: Vec<Connection>,
     closed: LinkTraffic,
 }
@@ -65,7 +65,7 @@
     timeline: EventTimeline,
     counters: DecisionCounters,
     connections: Mutex<HashMap<PeerTarget, ConnectionSlot>>,
-    traffic: Mutex<TrafficBook>,
+    traffic: Mutex<TrafficTotals>,
     queues: Mutex<HashMap<PeerTarget, mpsc::Sender<PeerRequest>>>,
 }
 
@@ -108,8 +108,8 @@
 
     /// Returns the bytes exchanged so far.
     pub fn traffic(&self) -> LinkTraffic {
-        let mut book = self.traffic.lock();
-        let TrafficBook { open, closed } = &mut *book;
+        let mut totals = self.traffic.lock();
+        let TrafficTotals { open, closed } = &mut *totals;
         open.retain(|connection| {
             let is_open = connection.close_reason().is_none();
             if !is_open {
--- a/crates/peer/tests/messages.rs
+++ b/crates/peer/tests/messages.rs
@@ -7,10 +7,10 @@
 use proptest::prelude::*;
 use runtime::{HybridTime, ReplicaAddress};
 use types::{
-    Announcement, BookVersion, CallAnswer, CallOutcome, CallRequest, ChangeAction, ChangeAnswer,
-    ChangeId, ChangeRequest, ClaimAnswer, ClusterView, Command, CommandAnswer, DocumentVersion,
-    EntryIncarnation, HeaderField, RefusalKind, ServerIncarnation, ServerState, ServiceSpec,
-    StewardBeat, StewardId, SuspectKind, SuspectReport, TeamDocument, ViewUpdate,
+    Announcement, CallAnswer, CallOutcome, CallRequest, ChangeAction, ChangeAnswer, ChangeId,
+    ChangeRequest, ClaimAnswer, ClusterView, Command, CommandAnswer, DocumentVersion,
+    EntryIncarnation, HeaderField, OwnerBeat, RefusalKind, RegistryVersion, ServerIncarnation,
+    ServerState, ServiceSpec, ShardOwnerId, SuspectKind, SuspectReport, TeamDocument, ViewUpdate,
 };
 use uuid::Uuid;
 
@@ -30,11 +30,11 @@
         expected_version: DocumentVersion(4),
         action: ChangeAction::Document(document),
     };
-    let steward = StewardId { entry: name("e"), incarnation: EntryIncarnation(9) };
+    let owner = ShardOwnerId { entry: name("e"), incarnation: EntryIncarnation(9) };
     vec![
         PeerRequest::Submit(Command::Change(change)),
         PeerRequest::Submit(Command::BalanceRanges),
-        PeerRequest::Beat(StewardBeat { steward, version: BookVersion(3) }),
+        PeerRequest::Beat(OwnerBeat { owner, version: RegistryVersion(3) }),
         PeerRequest::Suspect(SuspectReport {
             server: name("x"),
             incarnation: ServerIncarnation(1),
@@ -50,7 +50,7 @@
             sequence: 2,
             state: ServerState::Leaving,
         }),
-        PeerRequest::HandOver(CallRequest {
+        PeerRequest::CallForward(CallRequest {
             id: Uuid::from_u128(7),
             service: name("s"),
             method: "POST".to_owned(),
@@ -86,7 +86,7 @@
         applied(CommandAnswer::Claim(ClaimAnswer::Ran { status: 200 })),
         PeerAnswer::Submit(SubmitAnswer::Unknown),
         PeerAnswer::Freshness(Box::new(FreshnessAnswer::Granted(grant))),
-        PeerAnswer::HandOver(Box::new(call)),
+        PeerAnswer::CallForward(Box::new(call)),
         PeerAnswer::Refused("no".to_owned()),
     ]
 }
--- a/crates/policy/src/cold_start.rs
+++ b/crates/policy/src/cold_start.rs
@@ -3,7 +3,7 @@
 /// Successes at the current limit that widen it by half, at least by one.
 const SUCCESSES_PER_STEP: u32 = 8;
 
-/// Bounds the concurrent requests of one cold server. Kept by its steward only.
+/// Bounds the concurrent requests of one cold server. Kept by its owner only.
 ///
 /// Invariant: the limit stays between 1 and the server's slots.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/crates/policy/src/health.rs
+++ b/crates/policy/src/health.rs
@@ -21,7 +21,7 @@
 
 /// How one try at a server ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum TryOutcome {
+pub enum AttemptOutcome {
     /// A whole answer that is no server error.
     Success(Duration),
     /// A whole answer with a server error.
@@ -54,31 +54,31 @@
 
 impl ServerHealth {
     /// Notes the end of a try.
-    pub fn note(&mut self, outcome: TryOutcome, now: Instant) {
+    pub fn note(&mut self, outcome: AttemptOutcome, now: Instant) {
         match outcome {
-            TryOutcome::Success(_) => {
+            AttemptOutcome::Success(_) => {
                 self.note_share(0.0);
                 self.is_on_trial = false;
                 self.pause = Duration::ZERO;
                 self.shed_pause = Duration::ZERO;
             }
-            TryOutcome::ServerError => {
+            AttemptOutcome::ServerError => {
                 self.note_share(1.0);
                 if self.failure_share > FAILURE_LIMIT {
                     self.lengthen_pause(now);
                 }
             }
-            TryOutcome::Shed => {
+            AttemptOutcome::Shed => {
                 let doubled = self.shed_pause * 2;
                 self.shed_pause = doubled.clamp(FIRST_SHED_PAUSE, LONGEST_SHED_PAUSE);
                 self.pause_for(self.shed_pause, now);
             }
-            TryOutcome::Unreachable => self.lengthen_pause(now),
-            TryOutcome::Broken | TryOutcome::Late => {
+            AttemptOutcome::Unreachable => self.lengthen_pause(now),
+            AttemptOutcome::Broken | AttemptOutcome::Late => {
                 self.note_share(1.0);
                 self.lengthen_pause(now);
             }
-            TryOutcome::Cancelled => {}
+            AttemptOutcome::Cancelled => {}
         }
     }
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -3,18 +3,18 @@
 //! Time is an argument everywhere, so that tests and measurements run at any speed.
 
 mod admission;
-mod book;
 mod caller_patience;
 mod cold_share;
 mod cold_start;
 mod directory;
+mod entry_ranking;
 mod first_routes;
 mod freshness;
-mod guide;
 mod health;
 mod latency;
 mod placement;
 mod probe_budget;
+mod registry;
 mod retry_budget;
 mod return_plan;
 mod selection;
@@ -25,18 +25,18 @@
 mod waiting_line;
 
 pub use admission::{AdmissionGate, AdmissionSettings, retry_after};
-pub use book::{ANNOUNCEMENT_LEASE, AnnounceOutcome, ServerBook};
 pub use caller_patience::CallerPatience;
 pub use cold_share::{COLD_OWNERS, ColdAllowance, owns_cold_server, rendezvous_weight};
 pub use cold_start::ColdRamp;
 pub use directory::{BEAT_LIMIT, DirectoryServer, ServerDirectory};
+pub use entry_ranking::rank_entries;
 pub use first_routes::FirstRoutesTerms;
 pub use freshness::FreshnessGate;
-pub use guide::rank_entries;
-pub use health::{ServerHealth, TryOutcome};
+pub use health::{AttemptOutcome, ServerHealth};
 pub use latency::LatencyTracker;
 pub use placement::{PlacementCandidate, PlacementNeed, RoomNeed, ServerLoad, cheapest_candidate};
 pub use probe_budget::ProbeBudget;
+pub use registry::{ANNOUNCEMENT_LEASE, AnnounceOutcome, ServerRegistry};
 pub use retry_budget::RetryBudget;
 pub use return_plan::{RoomOutlook, plan_return};
 pub use selection::{CandidateLoad, LatencySelector, ServerSelector};
--- a/crates/policy/src/probe_budget.rs
+++ b/crates/policy/src/probe_budget.rs
@@ -4,8 +4,8 @@
 
 /// Grants probes at an agreed rate, without any saved up.
 ///
-/// Only a server's steward probes it. A new steward starts with an empty budget, and waits a whole
-/// interval, so that the rate holds over changes of the steward without coordination.
+/// Only a server's owner probes it. A new owner starts with an empty budget, and waits a whole
+/// interval, so that the rate holds over changes of the owner without coordination.
 #[derive(Debug, Clone)]
 pub struct ProbeBudget {
     interval: Option<Duration>,
--- a/crates/policy/src/book.rs
+++ b/crates/policy/src/registry.rs
@@ -1,4 +1,4 @@
-//! A steward's book of the servers it looks after.
+//! A shard owner's registry of the servers it looks after.
 //!
 //! Every change gets the next version, so that entries pull just what they lack. What must stop
 //! work (leaving and gone servers) is sent ahead of its turn.
@@ -8,8 +8,9 @@
     time::{Duration, Instant},
 };
 use types::{
-    Announcement, BookChange, BookDelta, BookRequest, BookVersion, ServerIncarnation, ServerName,
-    ServerRecord, ServerStage, ServerState, StewardId, SuspectKind, SuspectReport,
+    Announcement, RegistryChange, RegistryDelta, RegistryRequest, RegistryVersion,
+    ServerIncarnation, ServerName, ServerRecord, ServerStage, ServerState, ShardOwnerId,
+    SuspectKind, SuspectReport,
 };
 
 /// How long an announcement holds.
@@ -33,45 +34,45 @@
 }
 
 #[derive(Debug, Clone)]
-struct BookServer {
+struct RegisteredServer {
     record: ServerRecord,
-    changed: BookVersion,
+    changed: RegistryVersion,
     lease_until: Instant,
 }
 
-/// The servers of one steward.
+/// The servers of one owner.
 ///
-/// Invariants: no server's change is newer than the book's version; a server that announces
+/// Invariants: no server's change is newer than the registry's version; a server that announces
 /// `starting` or `leaving` is never cold or warm.
 #[derive(Debug)]
-pub struct ServerBook {
-    steward: StewardId,
-    version: BookVersion,
-    servers: BTreeMap<ServerName, BookServer>,
-    removals: VecDeque<(BookVersion, ServerName)>,
-    forgotten: BookVersion,
+pub struct ServerRegistry {
+    owner: ShardOwnerId,
+    version: RegistryVersion,
+    servers: BTreeMap<ServerName, RegisteredServer>,
+    removals: VecDeque<(RegistryVersion, ServerName)>,
+    forgotten: RegistryVersion,
 }
 
-impl ServerBook {
-    /// Returns an empty book.
-    pub fn new(steward: StewardId) -> Self {
+impl ServerRegistry {
+    /// Returns an empty registry.
+    pub fn new(owner: ShardOwnerId) -> Self {
         Self {
-            steward,
-            version: BookVersion(0),
+            owner,
+            version: RegistryVersion(0),
             servers: BTreeMap::new(),
             removals: VecDeque::new(),
-            forgotten: BookVersion(0),
+            forgotten: RegistryVersion(0),
         }
     }
 
     /// Returns the current version.
-    pub fn version(&self) -> BookVersion {
+    pub fn version(&self) -> RegistryVersion {
         self.version
     }
 
-    /// Returns the steward.
-    pub fn steward(&self) -> &StewardId {
-        &self.steward
+    /// Returns the owner.
+    pub fn owner(&self) -> &ShardOwnerId {
+        &self.owner
     }
 
     /// Returns a server.
@@ -85,7 +86,7 @@
     }
 
     /// Takes an announcement in. A server is cold when it is new here or has started anew, unless
-    /// `known_stage` says that this same incarnation was warm under its former steward.
+    /// `known_stage` says that this same incarnation was warm under its former owner.
     pub fn announce(
         &mut self,
         announcement: &Announcement,
@@ -127,7 +128,7 @@
         AnnounceOutcome::Changed
     }
 
-    /// Takes a server over from its former steward, unless this book knows it already.
+    /// Takes a server over from its former owner, unless this registry knows it already.
     pub fn adopt(&mut self, record: &ServerRecord, now: Instant) {
         if !self.servers.contains_key(&record.announcement.server) {
             self.put(record.clone(), now + ANNOUNCEMENT_LEASE);
@@ -155,7 +156,7 @@
 
     /// Removes the servers whose lease has run out, and returns them.
     pub fn expire(&mut self, now: Instant) -> Vec<ServerName> {
-        let is_expired = |(_, entry): &(&ServerName, &BookServer)| entry.lease_until <= now;
+        let is_expired = |(_, entry): &(&ServerName, &RegisteredServer)| entry.lease_until <= now;
         let expired: Vec<ServerName> =
             self.servers.iter().filter(is_expired).map(|(name, _)| name.clone()).collect();
         expired.iter().for_each(|name| self.remove(name));
@@ -163,38 +164,38 @@
     }
 
     /// Returns what an entry lacks.
-    pub fn delta(&self, request: &BookRequest) -> BookDelta {
-        let is_whole = request.incarnation != self.steward.incarnation
+    pub fn delta(&self, request: &RegistryRequest) -> RegistryDelta {
+        let is_whole = request.incarnation != self.owner.incarnation
             || request.since < self.forgotten
             || request.since > self.version;
-        let since = if is_whole { BookVersion(0) } else { request.since };
-        let mut newer: Vec<&BookServer> =
+        let since = if is_whole { RegistryVersion(0) } else { request.since };
+        let mut newer: Vec<&RegisteredServer> =
             self.servers.values().filter(|entry| entry.changed > since).collect();
         newer.sort_by_key(|entry| entry.changed);
         let version = match newer.get(DELTA_LIMIT) {
-            Some(first_left_out) => BookVersion(first_left_out.changed.0 - 1),
+            Some(first_left_out) => RegistryVersion(first_left_out.changed.0 - 1),
             None => self.version,
         };
-        let is_sent = |entry: &&&BookServer| {
+        let is_sent = |entry: &&&RegisteredServer| {
             entry.changed <= version || entry.record.stage == ServerStage::Leaving
         };
-        let mut changes: Vec<BookChange> = self
+        let mut changes: Vec<RegistryChange> = self
             .removals
             .iter()
             .filter(|(at, name)| *at > since && !self.servers.contains_key(name))
-            .map(|(_, name)| BookChange::Remove(name.clone()))
+            .map(|(_, name)| RegistryChange::Remove(name.clone()))
             .collect();
         changes.extend(
-            newer.iter().filter(is_sent).map(|entry| BookChange::Put(entry.record.clone())),
+            newer.iter().filter(is_sent).map(|entry| RegistryChange::Put(entry.record.clone())),
         );
-        BookDelta { steward: self.steward.clone(), is_whole, changes, version }
+        RegistryDelta { owner: self.owner.clone(), is_whole, changes, version }
     }
 
     /// Checks the invariants.
     pub fn verify(&self) -> Result<(), String> {
         for (name, entry) in &self.servers {
             if entry.changed > self.version {
-                return Err(format!("{name} changed after the book's version"));
+                return Err(format!("{name} changed after the registry's version"));
             }
             let is_ready = entry.record.announcement.state == ServerState::Ready;
             if !is_ready && entry.record.stage != ServerStage::Leaving {
@@ -225,14 +226,14 @@
     }
 
     fn put(&mut self, record: ServerRecord, lease_until: Instant) {
-        self.version = BookVersion(self.version.0 + 1);
+        self.version = RegistryVersion(self.version.0 + 1);
         let name = record.announcement.server.clone();
-        self.servers.insert(name, BookServer { record, changed: self.version, lease_until });
+        self.servers.insert(name, RegisteredServer { record, changed: self.version, lease_until });
     }
 
     fn remove(&mut self, server: &ServerName) {
         self.servers.remove(server);
-        self.version = BookVersion(self.version.0 + 1);
+        self.version = RegistryVersion(self.version.0 + 1);
         self.removals.push_back((self.version, server.clone()));
         if self.removals.len() > REMOVAL_LIMIT
             && let Some((version, _)) = self.removals.pop_front()
--- a/crates/policy/src/service_load.rs
+++ b/crates/policy/src/service_load.rs
@@ -1,7 +1,8 @@
 //! The servers of one service as one entry sees them, and the choice among them.
 
 use crate::{
-    CandidateLoad, ColdRamp, LatencyTracker, MedianBound, ServerHealth, ServerSelector, TryOutcome,
+    AttemptOutcome, CandidateLoad, ColdRamp, LatencyTracker, MedianBound, ServerHealth,
+    ServerSelector,
 };
 use rand::RngCore;
 use smallvec::SmallVec;
@@ -12,7 +13,7 @@
 };
 use types::{EntryName, ServerIncarnation, ServerName, ServerRecord, ServerStage, SuspectKind};
 
-/// How long a suspicion holds if the server's steward does not tell of it anew.
+/// How long a suspicion holds if the server's owner does not tell of it anew.
 const SUSPICION_LIMIT: Duration = Duration::from_secs(5);
 
 /// Time after which a latency counts as unknown.
@@ -34,9 +35,9 @@
 pub struct ServerView {
     /// Its announcement and stage.
     pub record: ServerRecord,
-    /// Its steward.
-    pub steward: EntryName,
-    /// This entry is the steward and may give it work while it is cold.
+    /// Its owner.
+    pub owner: EntryName,
+    /// This entry is the owner and may give it work while it is cold.
     pub may_warm: bool,
     /// Its failure domain is out of service.
     pub is_drained: bool,
@@ -52,7 +53,7 @@
     health: ServerHealth,
     slowness: MedianBound,
     ramp: Option<ColdRamp>,
-    /// Suspected in this incarnation, until its steward tells of it anew or this time passes.
+    /// Suspected in this incarnation, until its owner tells of it anew or this time passes.
     suspected_until: Option<Instant>,
 }
 
@@ -65,8 +66,8 @@
     pub address: SocketAddr,
     /// Incarnation at the time of the choice.
     pub incarnation: ServerIncarnation,
-    /// Its steward.
-    pub steward: EntryName,
+    /// Its owner.
+    pub owner: EntryName,
 }
 
 /// What a choice came to.
@@ -76,10 +77,10 @@
     Picked(PickedServer),
     /// There are servers, but none has room now.
     Busy,
-    /// No server may be given work by this entry. Other stewards have cold ones.
+    /// No server may be given work by this entry. Other owners have cold ones.
     NoneEligible {
-        /// Those stewards.
-        cold_stewards: SmallVec<[EntryName; 2]>,
+        /// Those owners.
+        cold_owners: SmallVec<[EntryName; 2]>,
     },
 }
 
@@ -90,14 +91,14 @@
     pub is_warm: bool,
     /// The server has become slow and is left alone for a while.
     pub is_slow: bool,
-    /// The server is to be reported to its steward.
+    /// The server is to be reported to its owner.
     pub suspicion: Option<SuspectKind>,
 }
 
 /// The servers of one service.
 ///
 /// Invariant: a cold server never has more requests in flight than its ramp allows, and none
-/// unless this entry is its steward.
+/// unless this entry is its owner.
 pub struct ServiceLoad {
     settings: LoadSettings,
     servers: Vec<ServerLoad>,
@@ -131,7 +132,7 @@
         }
     }
 
-    /// Picks a server for one request. `is_confirmed` says whether a steward's word still holds.
+    /// Picks a server for one request. `is_confirmed` says whether a shard owner's word still holds.
     pub fn pick(
         &mut self,
         excluded: &[ServerName],
@@ -145,7 +146,7 @@
             .servers
             .iter()
             .map(|server| {
-                let is_usable = is_confirmed(&server.view.steward)
+                let is_usable = is_confirmed(&server.view.owner)
                     && !excluded.contains(&server.view.record.announcement.server);
                 server.candidate(is_usable, typical, now)
             })
@@ -161,32 +162,32 @@
         if candidates.iter().any(|candidate| candidate.limit > 0) {
             return PickResult::Busy;
         }
-        PickResult::NoneEligible { cold_stewards: self.cold_stewards(is_confirmed) }
+        PickResult::NoneEligible { cold_owners: self.cold_owners(is_confirmed) }
     }
 
-    /// Returns the stewards of cold servers that only they may give work.
-    pub fn cold_stewards(
+    /// Returns the owners of cold servers that only they may give work.
+    pub fn cold_owners(
         &self,
         is_confirmed: impl Fn(&EntryName) -> bool,
     ) -> SmallVec<[EntryName; 2]> {
-        let mut stewards = SmallVec::new();
+        let mut owners = SmallVec::new();
         for server in &self.servers {
             let is_cold = server.view.record.stage == ServerStage::Cold
                 && !server.view.may_warm
                 && !server.view.is_drained;
-            let steward = &server.view.steward;
-            if is_cold && is_confirmed(steward) && !stewards.contains(steward) {
-                stewards.push(steward.clone());
+            let owner = &server.view.owner;
+            if is_cold && is_confirmed(owner) && !owners.contains(owner) {
+                owners.push(owner.clone());
             }
         }
-        stewards
+        owners
     }
 
     /// Notes the end of a request.
     pub fn release(
         &mut self,
         picked: &PickedServer,
-        outcome: TryOutcome,
+        outcome: AttemptOutcome,
         stated: &StatedLoad,
         now: Instant,
     ) -> ReleaseNotes {
@@ -203,7 +204,7 @@
             return ReleaseNotes::default();
         }
         let mut notes = server.note(outcome, stated, now);
-        if let TryOutcome::Success(latency) = outcome {
+        if let AttemptOutcome::Success(latency) = outcome {
             notes.is_slow = server.slowness.note(latency, typical);
             if notes.is_slow {
                 server.health.note_slow(now);
@@ -214,12 +215,10 @@
 
     /// Says whether this entry may give any server work, now or once one has room.
     pub fn has_eligible(&self, is_confirmed: impl Fn(&EntryName) -> bool, now: Instant) -> bool {
-        self.servers
-            .iter()
-            .any(|server| server.limit(now) > 0 && is_confirmed(&server.view.steward))
+        self.servers.iter().any(|server| server.limit(now) > 0 && is_confirmed(&server.view.owner))
     }
 
-    /// Says whether a cold server of this steward has room.
+    /// Says whether a cold server of this owner has room.
     pub fn has_own_cold(&self, now: Instant) -> bool {
         let has_room = |server: &ServerLoad| server.in_flight < server.limit(now);
         self.servers.iter().any(|server| server.ramp.is_some() && has_room(server))
@@ -279,7 +278,7 @@
                 && server.health.is_paused(now)
                 && !server.is_suspected(now)
                 && server.unpaused_limit() > 0
-                && is_confirmed(&server.view.steward)
+                && is_confirmed(&server.view.owner)
                 && !excluded.contains(&server.view.record.announcement.server)
         };
         let pairs = || self.servers.iter().zip(candidates.iter());
@@ -394,16 +393,16 @@
             name: announcement.server.clone(),
             address: announcement.address,
             incarnation: announcement.incarnation,
-            steward: self.view.steward.clone(),
+            owner: self.view.owner.clone(),
         }
     }
 
-    fn note(&mut self, outcome: TryOutcome, stated: &StatedLoad, now: Instant) -> ReleaseNotes {
+    fn note(&mut self, outcome: AttemptOutcome, stated: &StatedLoad, now: Instant) -> ReleaseNotes {
         self.health.note(outcome, now);
         if let Some(load) = stated.load {
             self.report = Some((load, now));
         }
-        if let TryOutcome::Success(latency) = outcome {
+        if let AttemptOutcome::Success(latency) = outcome {
             if self.recent_latency(now).is_zero() {
                 self.latency = LatencyTracker::default();
             }
@@ -411,8 +410,8 @@
             self.sampled = Some(now);
         }
         let is_warm = match (&mut self.ramp, outcome) {
-            (Some(ramp), TryOutcome::Success(_)) => ramp.note_success(),
-            (Some(_), TryOutcome::Cancelled) | (None, _) => false,
+            (Some(ramp), AttemptOutcome::Success(_)) => ramp.note_success(),
+            (Some(_), AttemptOutcome::Cancelled) | (None, _) => false,
             (Some(ramp), _) => {
                 ramp.note_failure();
                 false
@@ -427,7 +426,7 @@
 
     fn suspicion(
         &self,
-        outcome: TryOutcome,
+        outcome: AttemptOutcome,
         stated: &StatedLoad,
         now: Instant,
     ) -> Option<SuspectKind> {
@@ -443,8 +442,8 @@
         }
         let is_warm = self.view.record.stage == ServerStage::Warm;
         match outcome {
-            TryOutcome::Unreachable if is_warm => Some(SuspectKind::Unreachable),
-            TryOutcome::Broken if is_warm => Some(SuspectKind::Restarted),
+            AttemptOutcome::Unreachable if is_warm => Some(SuspectKind::Unreachable),
+            AttemptOutcome::Broken if is_warm => Some(SuspectKind::Restarted),
             _ => None,
         }
     }
--- a/crates/policy/tests/budgets.rs
+++ b/crates/policy/tests/budgets.rs
@@ -18,7 +18,7 @@
         prop_assert!(granted * 100 <= requests * u32::from(percent) + 100);
     }
 
-    /// Probes of one server, in any window, never exceed the agreed rate, also when its steward
+    /// Probes of one server, in any window, never exceed the agreed rate, also when its owner
     /// changes at any time.
     #[test]
     fn probes_stay_within_their_budget(
--- a/crates/policy/tests/servers.rs
+++ b/crates/policy/tests/servers.rs
@@ -1,9 +1,9 @@
-//! Books, directories and the choice of servers: fault tables of what stewards and servers may do.
+//! Registries, directories and the choice of servers: fault tables of what owners and servers may do.
 
 use hawthornhill_policy::{
-    AnnounceOutcome, CandidateLoad, LatencySelector, LoadSettings, PickResult, PickedServer,
-    ServerBook, ServerDirectory, ServerSelector, ServerView, ServiceLoad, StatedLoad, TryOutcome,
-    rank_entries,
+    AnnounceOutcome, AttemptOutcome, CandidateLoad, LatencySelector, LoadSettings, PickResult,
+    PickedServer, ServerDirectory, ServerRegistry, ServerSelector, ServerView, ServiceLoad,
+    StatedLoad, rank_entries,
 };
 use proptest::prelude::*;
 use rand::{RngCore, SeedableRng, rngs::SmallRng, seq::IteratorRandom};
@@ -13,9 +13,9 @@
     time::{Duration, Instant},
 };
 use types::{
-    Announcement, BookRequest, BookVersion, ClusterState, Command, EntryIncarnation, EntryInfo,
-    EntryName, LogTime, ServerIncarnation, ServerName, ServerRecord, ServerStage, ServerState,
-    ServiceName, StewardId, SuspectKind, SuspectReport,
+    Announcement, ClusterState, Command, EntryIncarnation, EntryInfo, EntryName, LogTime,
+    RegistryRequest, RegistryVersion, ServerIncarnation, ServerName, ServerRecord, ServerStage,
+    ServerState, ServiceName, ShardOwnerId, SuspectKind, SuspectReport,
 };
 
 fn name<T: std::str::FromStr>(text: &str) -> T
@@ -38,67 +38,67 @@
     }
 }
 
-fn steward(entry: &str, incarnation: u64) -> StewardId {
-    StewardId { entry: name(entry), incarnation: EntryIncarnation(incarnation) }
+fn owner(entry: &str, incarnation: u64) -> ShardOwnerId {
+    ShardOwnerId { entry: name(entry), incarnation: EntryIncarnation(incarnation) }
 }
 
-fn stage(book: &ServerBook, server: &str) -> Option<ServerStage> {
-    book.get(&name(server)).map(|record| record.stage)
+fn stage(registry: &ServerRegistry, server: &str) -> Option<ServerStage> {
+    registry.get(&name(server)).map(|record| record.stage)
 }
 
 #[test]
 fn late_repeated_and_reordered_announcements_change_nothing() {
     let now = Instant::now();
-    let mut book = ServerBook::new(steward("e", 1));
+    let mut registry = ServerRegistry::new(owner("e", 1));
     let ready = announcement("x", 2, 5, ServerState::Ready);
-    assert_eq!(book.announce(&ready, None, now), AnnounceOutcome::Started);
-    assert!(book.mark_warm(&name("x"), ServerIncarnation(2)));
+    assert_eq!(registry.announce(&ready, None, now), AnnounceOutcome::Started);
+    assert!(registry.mark_warm(&name("x"), ServerIncarnation(2)));
     let leaving = announcement("x", 2, 7, ServerState::Leaving);
-    assert_eq!(book.announce(&leaving, None, now), AnnounceOutcome::Changed);
-    let version = book.version();
+    assert_eq!(registry.announce(&leaving, None, now), AnnounceOutcome::Changed);
+    let version = registry.version();
     let cases = [
         (announcement("x", 2, 6, ServerState::Ready), AnnounceOutcome::Stale),
         (announcement("x", 1, 9, ServerState::Ready), AnnounceOutcome::Stale),
         (leaving.clone(), AnnounceOutcome::Renewed),
     ];
     for (late, expected) in cases {
-        assert_eq!(book.announce(&late, None, now), expected, "{late:?}");
+        assert_eq!(registry.announce(&late, None, now), expected, "{late:?}");
     }
-    assert_eq!((stage(&book, "x"), book.version()), (Some(ServerStage::Leaving), version));
+    assert_eq!((stage(&registry, "x"), registry.version()), (Some(ServerStage::Leaving), version));
     let restarted = announcement("x", 3, 0, ServerState::Ready);
-    assert_eq!(book.announce(&restarted, None, now), AnnounceOutcome::Started);
-    assert_eq!(stage(&book, "x"), Some(ServerStage::Cold), "a new start is cold");
-    assert_eq!(book.verify(), Ok(()));
+    assert_eq!(registry.announce(&restarted, None, now), AnnounceOutcome::Started);
+    assert_eq!(stage(&registry, "x"), Some(ServerStage::Cold), "a new start is cold");
+    assert_eq!(registry.verify(), Ok(()));
 }
 
 #[test]
 fn suspicions_of_a_former_incarnation_change_nothing() {
     let now = Instant::now();
-    let mut book = ServerBook::new(steward("e", 1));
-    book.announce(&announcement("x", 2, 0, ServerState::Ready), None, now);
-    book.mark_warm(&name("x"), ServerIncarnation(2));
+    let mut registry = ServerRegistry::new(owner("e", 1));
+    registry.announce(&announcement("x", 2, 0, ServerState::Ready), None, now);
+    registry.mark_warm(&name("x"), ServerIncarnation(2));
     let report = |incarnation, kind| SuspectReport {
         server: name("x"),
         incarnation: ServerIncarnation(incarnation),
         kind,
     };
-    assert!(!book.suspect(&report(1, SuspectKind::Restarted)));
-    assert_eq!(stage(&book, "x"), Some(ServerStage::Warm));
-    assert!(book.suspect(&report(2, SuspectKind::Restarted)));
-    assert_eq!(stage(&book, "x"), Some(ServerStage::Cold));
-    assert!(book.suspect(&report(2, SuspectKind::Leaving)));
-    assert_eq!(stage(&book, "x"), Some(ServerStage::Leaving));
-    assert!(!book.mark_warm(&name("x"), ServerIncarnation(2)), "a leaving server stays so");
+    assert!(!registry.suspect(&report(1, SuspectKind::Restarted)));
+    assert_eq!(stage(&registry, "x"), Some(ServerStage::Warm));
+    assert!(registry.suspect(&report(2, SuspectKind::Restarted)));
+    assert_eq!(stage(&registry, "x"), Some(ServerStage::Cold));
+    assert!(registry.suspect(&report(2, SuspectKind::Leaving)));
+    assert_eq!(stage(&registry, "x"), Some(ServerStage::Leaving));
+    assert!(!registry.mark_warm(&name("x"), ServerIncarnation(2)), "a leaving server stays so");
 }
 
 #[test]
 fn a_server_that_no_longer_announces_is_removed() {
     let now = Instant::now();
-    let mut book = ServerBook::new(steward("e", 1));
-    book.announce(&announcement("x", 1, 0, ServerState::Ready), None, now);
-    assert!(book.expire(now + Duration::from_secs(9)).is_empty());
-    assert_eq!(book.expire(now + Duration::from_secs(10)), [name::<ServerName>("x")]);
-    assert_eq!(stage(&book, "x"), None);
+    let mut registry = ServerRegistry::new(owner("e", 1));
+    registry.announce(&announcement("x", 1, 0, ServerState::Ready), None, now);
+    assert!(registry.expire(now + Duration::from_secs(9)).is_empty());
+    assert_eq!(registry.expire(now + Duration::from_secs(10)), [name::<ServerName>("x")]);
+    assert_eq!(stage(&registry, "x"), None);
 }
 
 /// Returns the state of a system whose entries are these.
@@ -115,7 +115,7 @@
             peer_address: address,
             operator_address: address,
             serving: true,
-            is_steward: true,
+            owns_shards: true,
         };
         state.apply(LogTime(0), &Command::PutEntry(info));
         state.apply(LogTime(0), &Command::BalanceRanges);
@@ -123,44 +123,44 @@
     state
 }
 
-fn pull(directory: &mut ServerDirectory, book: &ServerBook, now: Instant) {
-    let beat = types::StewardBeat { steward: book.steward().clone(), version: book.version() };
+fn pull(directory: &mut ServerDirectory, registry: &ServerRegistry, now: Instant) {
+    let beat = types::OwnerBeat { owner: registry.owner().clone(), version: registry.version() };
     while let Some(request) = directory.observe_beat(&beat, now) {
-        directory.apply(&book.delta(&request), now);
+        directory.apply(&registry.delta(&request), now);
     }
 }
 
 #[test]
-fn only_the_rightful_steward_is_believed_about_a_cold_server() {
+fn only_the_rightful_owner_is_believed_about_a_cold_server() {
     let now = Instant::now();
     let state = system(&["a", "b"]);
-    let rightful = state.view().server_lease(&name("x")).expect("steward").steward.clone();
+    let rightful = state.view().server_lease(&name("x")).expect("owner").owner.clone();
     let other = if rightful.as_str() == "a" { "b" } else { "a" };
-    let mut wrong = ServerBook::new(steward(other, 1));
+    let mut wrong = ServerRegistry::new(owner(other, 1));
     wrong.announce(&announcement("x", 9, 0, ServerState::Ready), None, now);
     let mut directory = ServerDirectory::default();
     pull(&mut directory, &wrong, now);
-    assert!(directory.servers(&name("s"), state.view()).is_empty(), "two stewards, one rightful");
-    let mut right = ServerBook::new(steward(rightful.as_str(), 1));
+    assert!(directory.servers(&name("s"), state.view()).is_empty(), "two owners, one rightful");
+    let mut right = ServerRegistry::new(owner(rightful.as_str(), 1));
     right.announce(&announcement("x", 2, 0, ServerState::Leaving), None, now);
     pull(&mut directory, &right, now);
     let servers = directory.servers(&name("s"), state.view());
     assert_eq!(servers.len(), 1);
-    assert_eq!((&servers[0].steward, servers[0].record.stage), (&rightful, ServerStage::Leaving));
+    assert_eq!((&servers[0].owner, servers[0].record.stage), (&rightful, ServerStage::Leaving));
 }
 
 #[test]
-fn a_restarted_steward_is_read_anew() {
+fn a_restarted_owner_is_read_anew() {
     let now = Instant::now();
     let state = system(&["a"]);
-    let mut first = ServerBook::new(steward("a", 1));
+    let mut first = ServerRegistry::new(owner("a", 1));
     for server in ["x", "y", "z"] {
         first.announce(&announcement(server, 1, 0, ServerState::Ready), None, now);
     }
     let mut directory = ServerDirectory::default();
     pull(&mut directory, &first, now);
     assert_eq!(directory.servers(&name("s"), state.view()).len(), 3);
-    let mut second = ServerBook::new(steward("a", 2));
+    let mut second = ServerRegistry::new(owner("a", 2));
     second.announce(&announcement("y", 1, 1, ServerState::Ready), None, now);
     pull(&mut directory, &second, now);
     let servers = directory.servers(&name("s"), state.view());
@@ -170,7 +170,7 @@
 proptest! {
     #![proptest_config(ProptestConfig { cases: 200, rng_seed: proptest::test_runner::RngSeed::Fixed(4), failure_persistence: None, ..ProptestConfig::default() })]
 
-    /// Whatever happens to a book, and whichever deltas are lost, an entry that pulls until it is
+    /// Whatever happens to a registry, and whichever deltas are lost, an entry that pulls until it is
     /// up to date knows the same servers.
     #[test]
     fn pulls_lead_to_the_same_servers(
@@ -178,7 +178,7 @@
     ) {
         let start = Instant::now();
         let state = system(&["a"]);
-        let mut book = ServerBook::new(steward("a", 1));
+        let mut registry = ServerRegistry::new(owner("a", 1));
         let mut directory = ServerDirectory::default();
         for (number, (which, action, loses)) in steps.into_iter().enumerate() {
             let now = start + Duration::from_millis(10 * number as u64);
@@ -186,27 +186,27 @@
             match action {
                 0 | 1 => {
                     let ready = announcement(&server, 1, number as u64, ServerState::Ready);
-                    book.announce(&ready, None, now);
+                    registry.announce(&ready, None, now);
                 }
                 2 => {
                     let leaving = announcement(&server, 1, number as u64, ServerState::Leaving);
-                    book.announce(&leaving, None, now);
+                    registry.announce(&leaving, None, now);
                 }
-                3 => { book.mark_warm(&name(&server), ServerIncarnation(1)); }
-                4 => { book.expire(now); }
+                3 => { registry.mark_warm(&name(&server), ServerIncarnation(1)); }
+                4 => { registry.expire(now); }
                 _ => {
-                    let beat = types::StewardBeat { steward: book.steward().clone(), version: book.version() };
+                    let beat = types::OwnerBeat { owner: registry.owner().clone(), version: registry.version() };
                     if let Some(request) = directory.observe_beat(&beat, now) && !loses {
-                        directory.apply(&book.delta(&request), now);
+                        directory.apply(&registry.delta(&request), now);
                     }
                 }
             }
-            prop_assert_eq!(book.verify(), Ok(()));
+            prop_assert_eq!(registry.verify(), Ok(()));
         }
-        pull(&mut directory, &book, start);
+        pull(&mut directory, &registry, start);
         let known: Vec<ServerRecord> =
             directory.servers(&name("s"), state.view()).into_iter().map(|s| s.record).collect();
-        let mut expected: Vec<ServerRecord> = book.records().cloned().collect();
+        let mut expected: Vec<ServerRecord> = registry.records().cloned().collect();
         // A renewal alone is not sent, so the sequence numbers may differ.
         expected.iter_mut().for_each(|record| record.announcement.sequence = 0);
         let mut known = known;
@@ -218,16 +218,16 @@
 #[test]
 fn what_must_stop_work_is_sent_ahead_of_its_turn() {
     let now = Instant::now();
-    let mut book = ServerBook::new(steward("a", 1));
+    let mut registry = ServerRegistry::new(owner("a", 1));
     for number in 0..1_000 {
         let ready = announcement(&format!("x{number:04}"), 1, 0, ServerState::Ready);
-        book.announce(&ready, None, now);
+        registry.announce(&ready, None, now);
     }
-    book.announce(&announcement("x0999", 1, 1, ServerState::Leaving), None, now);
-    let request = BookRequest { incarnation: EntryIncarnation(1), since: BookVersion(0) };
-    let delta = book.delta(&request);
+    registry.announce(&announcement("x0999", 1, 1, ServerState::Leaving), None, now);
+    let request = RegistryRequest { incarnation: EntryIncarnation(1), since: RegistryVersion(0) };
+    let delta = registry.delta(&request);
     assert!(delta.changes.len() <= 257, "paced");
-    let is_leaving = |change: &types::BookChange| matches!(change, types::BookChange::Put(record) if record.stage == ServerStage::Leaving);
+    let is_leaving = |change: &types::RegistryChange| matches!(change, types::RegistryChange::Put(record) if record.stage == ServerStage::Leaving);
     assert!(delta.changes.iter().any(is_leaving));
 }
 
@@ -245,7 +245,7 @@
         ServerStage::Cold | ServerStage::Warm => ServerState::Ready,
     };
     let record = ServerRecord { announcement: announcement(server, 1, 0, state), stage };
-    ServerView { record, steward: name("e"), may_warm, is_drained: false }
+    ServerView { record, owner: name("e"), may_warm, is_drained: false }
 }
 
 fn pick(load: &mut ServiceLoad, now: Instant) -> Option<PickedServer> {
@@ -261,7 +261,7 @@
     let drained = ServerView { is_drained: true, ..view("x", ServerStage::Warm, false) };
     let cases = [
         ("leaving", view("x", ServerStage::Leaving, true)),
-        ("cold, of another steward", view("x", ServerStage::Cold, false)),
+        ("cold, of another owner", view("x", ServerStage::Cold, false)),
         ("drained", drained),
     ];
     for (case, server) in cases {
@@ -272,7 +272,7 @@
     let mut load = ServiceLoad::new(load_settings());
     load.update(vec![view("x", ServerStage::Warm, false)]);
     let result = load.pick(&[], false, |_| false, now, &mut SmallRng::seed_from_u64(1));
-    assert!(matches!(result, PickResult::NoneEligible { .. }), "its steward is silent");
+    assert!(matches!(result, PickResult::NoneEligible { .. }), "its owner is silent");
 }
 
 #[test]
@@ -290,9 +290,9 @@
         let is_bad = server.name.as_str() == "bad";
         at_bad += u32::from(is_bad);
         let outcome = if is_bad {
-            TryOutcome::ServerError
+            AttemptOutcome::ServerError
         } else {
-            TryOutcome::Success(Duration::from_millis(1))
+            AttemptOutcome::Success(Duration::from_millis(1))
         };
         load.release(&server, outcome, &StatedLoad::default(), now);
     }
@@ -314,7 +314,7 @@
         let is_slow = server.name.as_str() == "slow";
         late_picks += u32::from(is_slow && number > 2_000);
         let latency = Duration::from_millis(if is_slow && number < 1_000 { 50 } else { 2 });
-        load.release(&server, TryOutcome::Success(latency), &StatedLoad::default(), now);
+        load.release(&server, AttemptOutcome::Success(latency), &StatedLoad::default(), now);
     }
     assert!(late_picks > 100, "{late_picks} of 3000");
 }
@@ -348,7 +348,7 @@
         picks += u32::from(is_slow);
         let noise = 0.3 - rand::Rng::random_range(&mut rng, f64::EPSILON..1.0).ln();
         let latency = Duration::from_secs_f64(noise * if is_slow { factor } else { 1.0 } / 1e3);
-        load.release(&server, TryOutcome::Success(latency), &StatedLoad::default(), now);
+        load.release(&server, AttemptOutcome::Success(latency), &StatedLoad::default(), now);
     }
     picks
 }
@@ -370,7 +370,7 @@
     load.update(["w", "x", "y", "z"].map(|n| view(n, ServerStage::Warm, false)).to_vec());
     for _ in 0..200 {
         if let Some(server) = pick(&mut load, now) {
-            load.release(&server, TryOutcome::ServerError, &StatedLoad::default(), now);
+            load.release(&server, AttemptOutcome::ServerError, &StatedLoad::default(), now);
         }
     }
     assert!(pick(&mut load, now).is_some(), "half of the servers are kept in use");
@@ -383,7 +383,7 @@
         let mut servers = ServiceLoad::new(load_settings());
         servers.update(vec![view("x", ServerStage::Warm, false)]);
         let picked = pick(&mut servers, now).expect("warm");
-        let success = TryOutcome::Success(Duration::from_millis(1));
+        let success = AttemptOutcome::Success(Duration::from_millis(1));
         let notes = servers.release(&picked, success, &load, now);
         assert_eq!(notes.suspicion, Some(expected));
         assert_eq!(pick(&mut servers, now), None);
@@ -414,12 +414,12 @@
                 },
                 3 => if let Some(server) = flying.pop() {
                     good += 1;
-                    let success = TryOutcome::Success(Duration::from_millis(1));
+                    let success = AttemptOutcome::Success(Duration::from_millis(1));
                     load.release(&server, success, &StatedLoad::default(), now);
                 },
                 _ => if let Some(server) = flying.pop() {
                     good = 0;
-                    load.release(&server, TryOutcome::Shed, &StatedLoad::default(), now);
+                    load.release(&server, AttemptOutcome::Shed, &StatedLoad::default(), now);
                 },
             }
             prop_assert_eq!(load.verify(), Ok(()));
@@ -428,7 +428,7 @@
 }
 
 #[test]
-fn the_guide_ranks_alike_everywhere_and_passes_over_who_must_not_serve() {
+fn the_directory_ranks_alike_everywhere_and_passes_over_who_must_not_serve() {
     let mut state = system(&["a", "b", "c", "d", "e"]);
     let service: ServiceName = name("s");
     let names = |state: &ClusterState| -> Vec<EntryName> {
--- a/crates/replica/tests/driver.rs
+++ b/crates/replica/tests/driver.rs
@@ -154,7 +154,7 @@
         peer_address: address(1),
         operator_address: address(1),
         serving: true,
-        is_steward: true,
+        owns_shards: true,
     };
     FreshnessRequest { entry: Some(entry), version: ViewVersion(0) }
 }
--- a/crates/runtime/src/settings.rs
+++ b/crates/runtime/src/settings.rs
@@ -25,7 +25,7 @@
     "log_format",
     "threads",
     "max_in_flight",
-    "guide_max_age_s",
+    "directory_max_age_s",
     "stop_grace_s",
     "max_body_bytes",
     "host",
@@ -91,10 +91,10 @@
     /// Requests in flight and waiting at an entry, 1 to 1,000,000.
     #[serde(default = "default_max_in_flight")]
     pub max_in_flight: usize,
-    /// How long callers may keep the guide's answer, in seconds, 1 to 600.
-    #[serde(default = "default_guide_max_age_s")]
-    pub guide_max_age_s: u64,
-    /// Longest wait for requests in flight at a planned stop, after the guide's answers have run
+    /// How long callers may keep the directory's answer, in seconds, 1 to 600.
+    #[serde(default = "default_directory_max_age_s")]
+    pub directory_max_age_s: u64,
+    /// Longest wait for requests in flight at a planned stop, after the directory's answers have run
     /// out, in seconds, 1 to 600.
     #[serde(default = "default_stop_grace_s")]
     pub stop_grace_s: u64,
@@ -153,7 +153,7 @@
             log_format: LogFormat::Terminal,
             threads: default_threads(),
             max_in_flight: default_max_in_flight(),
-            guide_max_age_s: default_guide_max_age_s(),
+            directory_max_age_s: default_directory_max_age_s(),
             stop_grace_s: default_stop_grace_s(),
             max_body_bytes: default_max_body_bytes(),
         }
@@ -199,7 +199,7 @@
         }
         check_range("threads", self.threads, 1, 256)?;
         check_range("max_in_flight", self.max_in_flight, 1, 1_000_000)?;
-        check_range("guide_max_age_s", self.guide_max_age_s, 1, 600)?;
+        check_range("directory_max_age_s", self.directory_max_age_s, 1, 600)?;
         check_range("stop_grace_s", self.stop_grace_s, 1, 600)?;
         check_range("max_body_bytes", self.max_body_bytes, 1_024, 16 * 1_024 * 1_024)
     }
@@ -233,7 +233,7 @@
     4_096
 }
 
-fn default_guide_max_age_s() -> u64 {
+fn default_directory_max_age_s() -> u64 {
     5
 }
 
--- a/crates/runtime/src/timeline.rs
+++ b/crates/runtime/src/timeline.rs
@@ -61,7 +61,7 @@
     /// An entry sent a second copy of a repeatable request.
     CallHedged = "call-hedged",
     /// An entry handed a request over to another entry.
-    CallHandedOver = "call-handed-over",
+    CallForwarded = "call-forwarded",
     /// An entry answered a request.
     CallAnswered = "call-answered",
     /// A claim was asked for and decided.
--- a/crates/runtime/tests/runtime.rs
+++ b/crates/runtime/tests/runtime.rs
@@ -26,7 +26,7 @@
         (with("max_inflight = 4"), "did you mean `max_in_flight`?"),
         (with("threads = 0"), "field threads: 0 is not between 1 and 256"),
         (with("threads = \"four\""), "threads"),
-        (with("guide_max_age_s = 601"), "field guide_max_age_s"),
+        (with("directory_max_age_s = 601"), "field directory_max_age_s"),
         (with("stop_grace_s = 0"), "field stop_grace_s"),
         (with("max_body_bytes = 10"), "field max_body_bytes"),
         (with("max_in_flight = 0"), "field max_in_flight"),
--- a/crates/server/src/announce.rs
+++ b/crates/server/src/announce.rs
@@ -22,8 +22,8 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AnnounceAnswer {
     /// Where to announce from now on.
-    pub steward: SocketAddr,
-    /// Where else to announce if the steward does not answer.
+    pub owner: SocketAddr,
+    /// Where else to announce if the owner does not answer.
     pub others: Vec<SocketAddr>,
     /// Period of announcements in milliseconds.
     pub period_ms: u64,
@@ -35,7 +35,7 @@
     /// It is not valid.
     #[error("{0}")]
     Invalid(String),
-    /// No steward can be reached now; try again.
+    /// No owner can be reached now; try again.
     #[error("{0}")]
     Unavailable(String),
 }
--- a/crates/testkit/examples/bench_selection.rs
+++ b/crates/testkit/examples/bench_selection.rs
@@ -1,4 +1,4 @@
-//! Measures ways of choosing a server side by side: real lanes' choice (`policy::ServiceLoad`)
+//! Measures ways of choosing a server side by side: real pools' choice (`policy::ServiceLoad`)
 //! with fakes over sockets, interleaved, several repetitions.
 //!
 //! Run: `cargo run --release -p hawthornhill-testkit --example bench_selection`
@@ -10,8 +10,8 @@
 use hdrhistogram::Histogram;
 use parking_lot::Mutex;
 use policy::{
-    LatencySelector, LoadSettings, PickResult, ServerSelector, ServerView, ServiceLoad, StatedLoad,
-    TryOutcome,
+    AttemptOutcome, LatencySelector, LoadSettings, PickResult, ServerSelector, ServerView,
+    ServiceLoad, StatedLoad,
 };
 use rand::{SeedableRng, rngs::SmallRng};
 use std::{
@@ -45,12 +45,12 @@
     slots: u32,
 }
 
-/// One entry's lane, with a queue for requests that find no room.
-struct Lane {
+/// One entry's pool, with a queue for requests that find no room.
+struct Pool {
     load: Mutex<(ServiceLoad, VecDeque<oneshot::Sender<()>>, SmallRng)>,
 }
 
-impl Lane {
+impl Pool {
     fn new(selector: Arc<dyn ServerSelector>, servers: &[FakeServer], seed: u64) -> Self {
         let mut load = ServiceLoad::new(LoadSettings {
             cold_concurrency: 1,
@@ -84,10 +84,10 @@
             Ok(answer) if answer.status == 200 => {
                 let load = answer.header(header::LOAD).parse().ok();
                 let stated = StatedLoad { load, ..StatedLoad::default() };
-                (TryOutcome::Success(started.elapsed()), stated)
+                (AttemptOutcome::Success(started.elapsed()), stated)
             }
-            Ok(answer) if answer.status == 503 => (TryOutcome::Shed, StatedLoad::default()),
-            _ => (TryOutcome::ServerError, StatedLoad::default()),
+            Ok(answer) if answer.status == 503 => (AttemptOutcome::Shed, StatedLoad::default()),
+            _ => (AttemptOutcome::ServerError, StatedLoad::default()),
         };
         let (load, queue, _) = &mut *self.load.lock();
         load.release(&server, outcome, &stated, Instant::now());
@@ -96,7 +96,7 @@
                 break;
             }
         }
-        matches!(outcome, TryOutcome::Success(_))
+        matches!(outcome, AttemptOutcome::Success(_))
     }
 }
 
@@ -112,8 +112,8 @@
         state: ServerState::Ready,
     };
     let record = ServerRecord { announcement, stage: ServerStage::Warm };
-    let steward = "e".parse().expect("valid");
-    ServerView { record, steward, may_warm: false, is_drained: false }
+    let owner = "e".parse().expect("valid");
+    ServerView { record, owner, may_warm: false, is_drained: false }
 }
 
 async fn start_servers(size: &UserSize) -> Vec<FakeServer> {
@@ -160,8 +160,8 @@
     trouble: Trouble,
     seed: u64,
 ) -> (Histogram<u64>, u64) {
-    let lanes: Arc<Vec<Lane>> = Arc::new(
-        (0..ENTRIES).map(|n| Lane::new(selector.clone(), servers, seed + n as u64)).collect(),
+    let pools: Arc<Vec<Pool>> = Arc::new(
+        (0..ENTRIES).map(|n| Pool::new(selector.clone(), servers, seed + n as u64)).collect(),
     );
     let client = HttpClient::default();
     let results = Arc::new(Mutex::new((latency_histogram(), 0_u64)));
@@ -174,10 +174,10 @@
         for number in 0..total {
             let scheduled = started + Duration::from_secs_f64(number as f64 / rate);
             std::thread::sleep(scheduled.saturating_duration_since(Instant::now()));
-            let (lanes, client, shared) = (lanes.clone(), client.clone(), shared.clone());
+            let (pools, client, shared) = (pools.clone(), client.clone(), shared.clone());
             tasks.push(runtime.spawn(async move {
-                let lane = &lanes[number as usize % ENTRIES];
-                let is_good = lane.call(&client, scheduled + Duration::from_secs(1)).await;
+                let pool = &pools[number as usize % ENTRIES];
+                let is_good = pool.call(&client, scheduled + Duration::from_secs(1)).await;
                 let mut shared = shared.lock();
                 if is_good {
                     shared.0.saturating_record(scheduled.elapsed().as_micros() as u64);
--- a/crates/testkit/src/fake_server.rs
+++ b/crates/testkit/src/fake_server.rs
@@ -325,14 +325,14 @@
     headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or_default().to_owned()
 }
 
-/// Announces as servers are asked to: to the steward that the last answer named, else to others.
+/// Announces as servers are asked to: to the owner that the last answer named, else to others.
 async fn announce_forever(core: Arc<FakeCore>) {
     let mut targets = core.settings.entries.clone();
     loop {
         let answer = announce(&targets, &core.announcement()).await;
         let pause = match answer {
             Some(answer) => {
-                targets = vec![answer.steward];
+                targets = vec![answer.owner];
                 targets.extend(answer.others);
                 Duration::from_millis(answer.period_ms)
             }
--- a/crates/testkit/src/process_group.rs
+++ b/crates/testkit/src/process_group.rs
@@ -171,7 +171,7 @@
         let mut text = format!(
             "name = \"{}\"\nfailure_domain = \"{}\"\nroles = [{}]\ndata_folder = {:?}\n\
              key_folder = {:?}\npeer_address = \"{}\"\ncaller_address = \"{}\"\n\
-             server_address = \"{}\"\noperator_address = \"{}\"\nguide_max_age_s = 1\nthreads = 2\n",
+             server_address = \"{}\"\noperator_address = \"{}\"\ndirectory_max_age_s = 1\nthreads = 2\n",
             process.name,
             process.domain,
             roles.join(", "),
--- a/crates/testkit/src/system.rs
+++ b/crates/testkit/src/system.rs
@@ -51,7 +51,7 @@
     tokio::time::sleep(Duration::from_millis(ms)).await;
 }
 
-/// The services of the tests: `look` may be repeated, `book` may not, by POST.
+/// The services of the tests: `look` may be repeated, `registry` may not, by POST.
 pub fn document(timeout_ms: u32) -> TeamDocument {
     let spec = |name: &str| ServiceSpec {
         timeout_ms,
@@ -193,7 +193,7 @@
     }
 
     /// Sends a booking with a key to an entry. `None` if the entry did not answer.
-    pub async fn book(&self, index: usize, key: &str, body: &str) -> Option<HttpAnswer> {
+    pub async fn registry(&self, index: usize, key: &str, body: &str) -> Option<HttpAnswer> {
         let request = HttpRequest::post("/v1/call/book/x", body.as_bytes().to_vec())
             .with(header::IDEMPOTENCY_KEY, key);
         self.client.send(self.caller(index), request).await.ok()
@@ -204,7 +204,7 @@
         wait_until("the entry serves", || async {
             let answer = match service {
                 "look" => self.look(index).await,
-                _ => self.book(index, &new_key(), "warm").await,
+                _ => self.registry(index, &new_key(), "warm").await,
             };
             answer.is_some_and(|answer| answer.status == 200)
         })
--- a/crates/types/src/entry_info.rs
+++ b/crates/types/src/entry_info.rs
@@ -28,5 +28,5 @@
     /// False once the entry has begun a planned stop.
     pub serving: bool,
     /// The entry looks after a share of the servers that announce themselves to entries.
-    pub is_steward: bool,
+    pub owns_shards: bool,
 }
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -10,7 +10,7 @@
 mod entry_info;
 mod names;
 mod outcome;
-mod roster;
+mod registry;
 mod routing;
 mod server_info;
 mod state;
@@ -28,9 +28,9 @@
 pub use entry_info::{EntryIncarnation, EntryInfo};
 pub use names::{DomainName, EntryName, HostName, NameError, ServerName, ServiceName, TeamName};
 pub use outcome::CallOutcome;
-pub use roster::{
-    BookChange, BookDelta, BookRequest, BookVersion, ServerRecord, ServerStage, StewardBeat,
-    StewardId, SuspectKind, SuspectReport,
+pub use registry::{
+    OwnerBeat, RegistryChange, RegistryDelta, RegistryRequest, RegistryVersion, ServerRecord,
+    ServerStage, ShardOwnerId, SuspectKind, SuspectReport,
 };
 pub use routing::{
     CallerLimits, PoolSpec, RoutePart, RouteSpec, RouteTable, RoutingDocument, RoutingError,
--- a/crates/types/src/roster.rs
+++ b/crates/types/src/registry.rs
@@ -1,19 +1,19 @@
-//! What stewards tell the other entries about the servers they look after.
+//! What shard owners tell the other entries about the servers they look after.
 
 use crate::{Announcement, EntryIncarnation, EntryName, ServerIncarnation, ServerName};
 use serde::{Deserialize, Serialize};
 
-/// The version of a steward's book of servers; plus 1 at each change.
+/// The version of a shard owner's registry of servers; plus 1 at each change.
 #[derive(
     Debug, Clone, Copy, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
 )]
-pub struct BookVersion(pub u64);
+pub struct RegistryVersion(pub u64);
 
 /// How much work a server may be given.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum ServerStage {
-    /// Only its steward gives it work.
+    /// Only its owner gives it work.
     Cold,
     /// All entries give it work.
     Warm,
@@ -21,7 +21,7 @@
     Leaving,
 }
 
-/// A server as its steward knows it.
+/// A server as its owner knows it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServerRecord {
     /// Its latest announcement.
@@ -30,56 +30,56 @@
     pub stage: ServerStage,
 }
 
-/// One start of a steward.
+/// One start of a shard owner.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct StewardId {
+pub struct ShardOwnerId {
     /// The entry.
     pub entry: EntryName,
-    /// Its incarnation; a book's versions count within one.
+    /// Its incarnation; a registry's versions count within one.
     pub incarnation: EntryIncarnation,
 }
 
-/// Sent by every steward to every entry in each beat period.
+/// Sent by every owner to every entry in each beat period.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct StewardBeat {
-    /// The steward.
-    pub steward: StewardId,
-    /// The version of its book.
-    pub version: BookVersion,
+pub struct OwnerBeat {
+    /// The owner.
+    pub owner: ShardOwnerId,
+    /// The version of its registry.
+    pub version: RegistryVersion,
 }
 
-/// Asks a steward for what changed in its book.
+/// Asks a shard owner for what changed in its registry.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct BookRequest {
-    /// The incarnation that the asker knows; another one is answered with the whole book.
+pub struct RegistryRequest {
+    /// The incarnation that the asker knows; another one is answered with the whole registry.
     pub incarnation: EntryIncarnation,
     /// The version that the asker has.
-    pub since: BookVersion,
+    pub since: RegistryVersion,
 }
 
-/// One difference between two versions of a book.
+/// One difference between two versions of a registry.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub enum BookChange {
+pub enum RegistryChange {
     /// A server is new or has changed.
     Put(ServerRecord),
     /// A server is gone.
     Remove(ServerName),
 }
 
-/// What changed in a steward's book.
+/// What changed in a shard owner's registry.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct BookDelta {
-    /// The steward.
-    pub steward: StewardId,
-    /// The changes build on an empty book, not on the version asked for.
+pub struct RegistryDelta {
+    /// The owner.
+    pub owner: ShardOwnerId,
+    /// The changes build on an empty registry, not on the version asked for.
     pub is_whole: bool,
     /// The changes.
-    pub changes: Vec<BookChange>,
-    /// The version reached; lower than the book's when more is to be pulled.
-    pub version: BookVersion,
+    pub changes: Vec<RegistryChange>,
+    /// The version reached; lower than the registry's when more is to be pulled.
+    pub version: RegistryVersion,
 }
 
-/// Tells a steward that a server looks cold, slow or dead to another entry.
+/// Tells a shard owner that a server looks cold, slow or dead to another entry.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SuspectReport {
     /// The server.
--- a/crates/types/src/view.rs
+++ b/crates/types/src/view.rs
@@ -30,14 +30,14 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct RangeIndex(pub u8);
 
-/// The steward of a range.
+/// The owner of a range.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RangeLease {
     /// The entry that looks after the servers in the range.
-    pub steward: EntryName,
-    /// The version of the view that gave the range to this steward.
+    pub owner: EntryName,
+    /// The version of the view that gave the range to this owner.
     pub since: ViewVersion,
-    /// No other steward held the range before.
+    /// No other owner held the range before.
     pub is_first: bool,
 }
 
@@ -52,7 +52,7 @@
     PutEntry(EntryInfo),
     /// An entry has left or lost its lease.
     RemoveEntry(EntryName),
-    /// Ranges get a new steward.
+    /// Ranges get a new owner.
     AssignRanges(Vec<(RangeIndex, EntryName)>),
     /// The first routing document.
     PutRouting(Arc<RoutingDocument>),
@@ -87,18 +87,18 @@
     #[error("service {0} is held by a team that does not declare it")]
     Holder(ServiceName),
     /// A range is leased to an entry that is not registered.
-    #[error("range {range:?} is leased to {steward}, which is not an entry")]
-    Steward {
+    #[error("range {range:?} is leased to {owner}, which is not an entry")]
+    ShardOwner {
         /// The range.
         range: RangeIndex,
         /// The unknown entry.
-        steward: EntryName,
+        owner: EntryName,
     },
 }
 
-/// Configuration, drains, entries and stewards.
+/// Configuration, drains, entries and owners.
 ///
-/// Invariants: each service is held by exactly the team whose document declares it; every steward
+/// Invariants: each service is held by exactly the team whose document declares it; every owner
 /// is a registered entry.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ClusterView {
@@ -109,7 +109,7 @@
     drains: BTreeMap<DomainName, (bool, DocumentVersion)>,
     entries: BTreeMap<EntryName, EntryInfo>,
     ranges: BTreeMap<RangeIndex, RangeLease>,
-    /// Ranges that have had a steward at any time.
+    /// Ranges that have had a shard owner at any time.
     used_ranges: BTreeSet<RangeIndex>,
     routing: Option<Arc<RoutingDocument>>,
     servers: BTreeMap<ServerName, Arc<Announcement>>,
@@ -193,11 +193,8 @@
     }
 
     /// Returns the ranges that an entry looks after.
-    pub fn ranges_of(
-        &self,
-        steward: &EntryName,
-    ) -> impl Iterator<Item = (RangeIndex, &RangeLease)> {
-        let is_own = move |(_, lease): &(&RangeIndex, &RangeLease)| lease.steward == *steward;
+    pub fn ranges_of(&self, owner: &EntryName) -> impl Iterator<Item = (RangeIndex, &RangeLease)> {
+        let is_own = move |(_, lease): &(&RangeIndex, &RangeLease)| lease.owner == *owner;
         self.ranges.iter().filter(is_own).map(|(range, lease)| (*range, lease))
     }
 
@@ -219,13 +216,12 @@
             }
             ViewChange::RemoveEntry(name) => {
                 self.entries.remove(name);
-                self.ranges.retain(|_, lease| lease.steward != *name);
+                self.ranges.retain(|_, lease| lease.owner != *name);
             }
             ViewChange::AssignRanges(moves) => {
-                for (range, steward) in moves {
+                for (range, owner) in moves {
                     let is_first = self.used_ranges.insert(*range);
-                    let lease =
-                        RangeLease { steward: steward.clone(), since: self.version, is_first };
+                    let lease = RangeLease { owner: owner.clone(), since: self.version, is_first };
                     self.ranges.insert(*range, lease);
                 }
             }
@@ -256,7 +252,7 @@
     pub fn plan_ranges(&self) -> Vec<(RangeIndex, EntryName)> {
         let serving: Vec<&EntryName> = self
             .entries()
-            .filter(|entry| entry.serving && entry.is_steward)
+            .filter(|entry| entry.serving && entry.owns_shards)
             .map(|entry| &entry.name)
             .collect();
         if serving.is_empty() {
@@ -267,7 +263,7 @@
             serving.iter().map(|name| (*name, 0)).collect();
         let mut homeless = Vec::new();
         for range in (0..RANGE_COUNT).map(|index| RangeIndex(index as u8)) {
-            let count = self.ranges.get(&range).and_then(|lease| counts.get_mut(&lease.steward));
+            let count = self.ranges.get(&range).and_then(|lease| counts.get_mut(&lease.owner));
             match count {
                 Some(count) if *count < share => *count += 1,
                 _ => homeless.push(range),
@@ -301,8 +297,8 @@
             }
         }
         for (range, lease) in &self.ranges {
-            if !self.entries.contains_key(&lease.steward) {
-                return Err(ViewError::Steward { range: *range, steward: lease.steward.clone() });
+            if !self.entries.contains_key(&lease.owner) {
+                return Err(ViewError::ShardOwner { range: *range, owner: lease.owner.clone() });
             }
         }
         Ok(())
--- a/crates/types/tests/state.rs
+++ b/crates/types/tests/state.rs
@@ -105,7 +105,7 @@
         peer_address: address,
         operator_address: address,
         serving: true,
-        is_steward: true,
+        owns_shards: true,
     }
 }
 
