Break the import circles of consensus, entry and server

Cause: core, leader and election of consensus used each other's types; dispatch and once, attempts and active_call of entry, pool and connection of server did the same, so that none could be read alone. Roles and their state are in consensus/role.rs; prepared requests and what the runner of at-most-once requests uses of the dispatcher (trait CallRelay) in files of entry; opening connections in server/http_transport.rs. Only moves; the tests of the four packages pass.

--- a/crates/consensus/src/core.rs
+++ b/crates/consensus/src/core.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     Effects, Envelope, HardState, LogEntry, LogIndex, LogPayload, Membership, Message, ReplicaId,
-    Restored, SnapshotImage, Term, election::Ballot, leader::Leadership, log::MemoryLog,
+    Restored, SnapshotImage, Term, log::MemoryLog, role::RoleState,
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use thiserror::Error;
@@ -66,13 +66,6 @@
     Leader,
 }
 
-pub(crate) enum RoleState {
-    Follower,
-    PreCandidate(Ballot),
-    Candidate(Ballot),
-    Leader(Leadership),
-}
-
 /// One replica of the replicated log.
 ///
 /// Invariants: the term never falls; at most one vote is cast a term; committed entries are never
--- a/crates/consensus/src/election.rs
+++ b/crates/consensus/src/election.rs
@@ -1,22 +1,11 @@
 //! Elections: pre-vote, vote, and the election that a leader asks for when it stops.
 
-use crate::{Consensus, Envelope, HardState, LogIndex, Message, ReplicaId, Term, core::RoleState};
+use crate::{
+    Consensus, Envelope, HardState, LogIndex, Message, ReplicaId, Term,
+    role::{Ballot, RoleState},
+};
 use smallvec::SmallVec;
 
-/// The votes received so far.
-#[derive(Debug, Default)]
-pub(crate) struct Ballot {
-    granted: SmallVec<[ReplicaId; 5]>,
-}
-
-impl Ballot {
-    fn grant(&mut self, id: ReplicaId) {
-        if !self.granted.contains(&id) {
-            self.granted.push(id);
-        }
-    }
-}
-
 impl Consensus {
     /// Says whether this replica leads or heard its leader within the election timeout.
     pub(crate) fn has_live_leader(&self) -> bool {
--- a/crates/consensus/src/leader.rs
+++ b/crates/consensus/src/leader.rs
@@ -2,23 +2,13 @@
 
 use crate::{
     Consensus, ConsensusError, LogIndex, LogPayload, MemberRole, MembershipChange, MembershipError,
-    Message, ReadToken, ReadyRead, ReplicaId, core::RoleState,
+    Message, ReadToken, ReadyRead, ReplicaId,
+    role::{Leadership, PendingRead, Progress, RoleState},
 };
 use smallvec::SmallVec;
 use std::collections::{BTreeMap, VecDeque};
 use types::{Command, LogTime};
 
-/// How far one follower is.
-#[derive(Debug, Clone, Copy)]
-struct Progress {
-    next: LogIndex,
-    matched: LogIndex,
-    acked_round: u64,
-    is_active: bool,
-    /// A snapshot is on its way; nothing else is sent until it is answered or the tick passes.
-    installing_ticks: u32,
-}
-
 /// What status pages show of a follower.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct FollowerStatus {
@@ -30,32 +20,9 @@
     pub is_active: bool,
 }
 
-#[derive(Debug)]
-struct PendingRead {
-    token: ReadToken,
-    round: u64,
-}
-
-/// The state of a leader.
-#[derive(Debug)]
-pub(crate) struct Leadership {
-    progress: BTreeMap<ReplicaId, Progress>,
-    first_index: LogIndex,
-    round: u64,
-    reads: VecDeque<PendingRead>,
-    ticks_since_heartbeat: u32,
-    ticks_since_check: u32,
-}
-
 /// Ticks after which an unanswered snapshot is sent again.
 const INSTALL_RETRY_TICKS: u32 = 40;
 
-impl Leadership {
-    pub(crate) fn pending_reads(&self) -> impl Iterator<Item = ReadToken> {
-        self.reads.iter().map(|read| read.token)
-    }
-}
-
 impl Consensus {
     /// Puts a command into the log.
     pub fn propose(&mut self, time: LogTime, command: Command) -> Result<LogIndex, ConsensusError> {
--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -11,6 +11,7 @@
 mod log;
 mod membership;
 mod message;
+mod role;
 mod verify;
 
 pub use crate::core::{Consensus, ConsensusError, CoreSettings, LeaderHint, ReplicaRole};
--- a/crates/entry/src/active_call.rs
+++ b/crates/entry/src/active_call.rs
@@ -1,6 +1,6 @@
 //! A request on its way through an entry, with what is known about it.
 
-use crate::{attempts::PreparedCall, service_pool::ServicePool};
+use crate::{prepared_call::PreparedCall, service_pool::ServicePool};
 use std::{
     sync::{
         Arc,
--- a/crates/entry/src/attempts.rs
+++ b/crates/entry/src/attempts.rs
@@ -1,13 +1,11 @@
 //! One try of a request at one server.
 
 use crate::{EntryContext, active_call::ActiveCall, service_pool::ServerPermit};
-use bytes::Bytes;
-use http::{HeaderMap, HeaderName, HeaderValue, Method, uri::PathAndQuery};
 use policy::{AttemptOutcome, StatedLoad};
 use runtime::EventKind;
-use server::{SendError, ServerAnswer, ServerRequest, ServerTransport, StartGuard, TransportError};
+use server::{SendError, ServerAnswer, ServerTransport, StartGuard, TransportError};
 use std::{sync::Arc, time::Instant};
-use types::{CallAnswer, CallOutcome, CallRequest, ServerName, header};
+use types::{CallAnswer, CallOutcome, ServerName};
 
 /// How a try ended, as far as the request is concerned.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -24,49 +22,6 @@
     Late,
 }
 
-/// A request in the form in which it is sent to servers.
-#[derive(Debug, Clone)]
-pub(crate) struct PreparedCall {
-    method: Method,
-    path: PathAndQuery,
-    headers: HeaderMap,
-    body: Bytes,
-}
-
-impl PreparedCall {
-    /// Checks and converts a caller's request. Fails with the name of the wrong field.
-    pub(crate) fn new(call: &CallRequest) -> Result<Self, String> {
-        let method = Method::from_bytes(call.method.as_bytes())
-            .map_err(|error| format!("method: {error}"))?;
-        let path =
-            PathAndQuery::try_from(call.path.as_str()).map_err(|error| format!("path: {error}"))?;
-        let mut headers = HeaderMap::with_capacity(call.headers.len() + 3);
-        for field in &call.headers {
-            let name = HeaderName::from_bytes(field.name.as_bytes())
-                .map_err(|error| format!("header {:?}: {error}", field.name))?;
-            let value = HeaderValue::from_bytes(&field.value)
-                .map_err(|error| format!("header {}: {error}", field.name))?;
-            headers.append(name, value);
-        }
-        insert(&mut headers, header::REQUEST_ID, &call.id.to_string());
-        if let Some(key) = call.key {
-            insert(&mut headers, header::IDEMPOTENCY_KEY, &key.to_string());
-        }
-        Ok(Self { method, path, headers, body: Bytes::copy_from_slice(&call.body) })
-    }
-
-    fn request(&self, deadline: Instant) -> ServerRequest {
-        let mut headers = self.headers.clone();
-        insert(&mut headers, header::DEADLINE, &crate::context::left_ms(deadline).to_string());
-        ServerRequest {
-            method: self.method.clone(),
-            path: self.path.clone(),
-            headers,
-            body: self.body.clone(),
-        }
-    }
-}
-
 /// Sends requests to servers and judges how they end.
 #[derive(Clone)]
 pub(crate) struct TryRunner {
@@ -152,9 +107,3 @@
         Err(SendError::DeadlinePassed) => AttemptEnd::Late,
     }
 }
-
-fn insert(headers: &mut HeaderMap, name: &'static str, value: &str) {
-    if let Ok(value) = HeaderValue::from_str(value) {
-        headers.insert(name, value);
-    }
-}
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -3,11 +3,13 @@
 use crate::{
     EntryContext,
     active_call::{ActiveCall, CallSource},
-    attempts::{AttemptEnd, PreparedCall, TryRunner},
+    attempts::{AttemptEnd, TryRunner},
     catalog::ServerCatalog,
     claims::ClaimLedger,
     context::{left_ms, whole_ms},
     once::OnceRunner,
+    prepared_call::PreparedCall,
+    relay::{CallRelay, ForwardEnd, MAX_ATTEMPTS, unseen_outcome},
     service_pool::{AcquireError, ServerPermit},
 };
 use async_trait::async_trait;
@@ -27,13 +29,10 @@
 };
 use tokio::time::sleep_until;
 use types::{
-    CallAnswer, CallOutcome, CallRequest, EntryName, HeaderField, ServerName, ServiceName,
-    ServiceSpec, header,
+    CallAnswer, CallOutcome, CallRequest, EntryName, ServerName, ServiceName, ServiceSpec,
 };
 use uuid::Uuid;
 
-/// Attempts at a request, the first included.
-pub(crate) const MAX_ATTEMPTS: usize = 3;
 /// Entries that the directory names for a service.
 const DIRECTORY_ENTRIES: usize = 3;
 /// Part of a request's time that it may spend on warming a server up.
@@ -41,16 +40,6 @@
 /// Time after which a caller should ask again while an entry is closed.
 const CLOSED_RETRY_AFTER: Duration = Duration::from_millis(500);
 
-/// What handing a request over came to.
-pub(crate) enum ForwardEnd {
-    /// The other entry's answer.
-    Answered(CallAnswer),
-    /// The request did not reach it.
-    NotReached,
-    /// It may have reached it.
-    Unknown(String),
-}
-
 /// Brings requests to servers.
 pub struct CallDispatcher {
     pub(crate) context: Arc<EntryContext>,
@@ -147,7 +136,7 @@
         let Some(dispatcher) = self.this.upgrade() else {
             return failed();
         };
-        let task = tokio::spawn(async move { dispatcher.once.run(&dispatcher, active).await });
+        let task = tokio::spawn(async move { dispatcher.once.run(&*dispatcher, active).await });
         task.await.unwrap_or_else(|_| failed())
     }
 
@@ -293,13 +282,25 @@
         }
     }
 
-    /// Hands a request over to another entry.
-    pub(crate) async fn forward(
-        &self,
-        active: &ActiveCall,
-        to: &EntryName,
-        deadline: Instant,
-    ) -> ForwardEnd {
+    fn give_up(&self, last: AttemptEnd) -> CallAnswer {
+        match last {
+            AttemptEnd::Answered(answer) => answer,
+            AttemptEnd::Closed => self.refuse_closed(None),
+            AttemptEnd::NotRun(reason) => CallAnswer::refusal(503, CallOutcome::NotRun, &reason)
+                .with_retry_after(self.retry_after_ms(Duration::ZERO)),
+            AttemptEnd::Unknown(reason) => CallAnswer::refusal(502, CallOutcome::Unknown, &reason)
+                .with_retry_after(self.retry_after_ms(Duration::ZERO)),
+            AttemptEnd::Late => {
+                CallAnswer::refusal(504, CallOutcome::Unknown, "no answer by the deadline")
+                    .with_retry_after(self.retry_after_ms(Duration::ZERO))
+            }
+        }
+    }
+}
+
+#[async_trait]
+impl CallRelay for CallDispatcher {
+    async fn forward(&self, active: &ActiveCall, to: &EntryName, deadline: Instant) -> ForwardEnd {
         // While ranges move, a server may be listed under this entry before it may warm it up.
         if *to == self.context.name() {
             return ForwardEnd::NotReached;
@@ -332,37 +333,20 @@
         }
     }
 
-    fn give_up(&self, last: AttemptEnd) -> CallAnswer {
-        match last {
-            AttemptEnd::Answered(answer) => answer,
-            AttemptEnd::Closed => self.refuse_closed(None),
-            AttemptEnd::NotRun(reason) => CallAnswer::refusal(503, CallOutcome::NotRun, &reason)
-                .with_retry_after(self.retry_after_ms(Duration::ZERO)),
-            AttemptEnd::Unknown(reason) => CallAnswer::refusal(502, CallOutcome::Unknown, &reason)
-                .with_retry_after(self.retry_after_ms(Duration::ZERO)),
-            AttemptEnd::Late => {
-                CallAnswer::refusal(504, CallOutcome::Unknown, "no answer by the deadline")
-                    .with_retry_after(self.retry_after_ms(Duration::ZERO))
-            }
-        }
-    }
-
-    /// Refuses a request because this entry cannot confirm its view.
-    pub(crate) fn refuse_closed(&self, key: Option<Uuid>) -> CallAnswer {
+    fn refuse_closed(&self, key: Option<Uuid>) -> CallAnswer {
         self.context.counters.calls.count("closed");
         let reason = "this entry cannot confirm its configuration; use another one";
         CallAnswer::refusal(503, unseen_outcome(key), reason)
             .with_retry_after(self.retry_after_ms(CLOSED_RETRY_AFTER))
     }
 
-    /// Refuses a request for want of servers with room.
-    pub(crate) fn refuse_busy(&self, key: Option<Uuid>, wait: Duration) -> CallAnswer {
+    fn refuse_busy(&self, key: Option<Uuid>, wait: Duration) -> CallAnswer {
         self.context.counters.calls.count("busy");
         CallAnswer::refusal(503, unseen_outcome(key), "no server has room")
             .with_retry_after(self.retry_after_ms(wait))
     }
 
-    pub(crate) fn retry_after_ms(&self, wait: Duration) -> u32 {
+    fn retry_after_ms(&self, wait: Duration) -> u32 {
         let spread = self.context.with_rng(|rng| rng.random::<f64>());
         whole_ms(retry_after(wait, spread))
     }
@@ -393,21 +377,6 @@
     }
 }
 
-/// Returns what may be said of a request that this entry never looked up: a request with the
-/// caller's own key may have run when it was sent before.
-pub(crate) fn unseen_outcome(key: Option<Uuid>) -> CallOutcome {
-    if key.is_some() { CallOutcome::Unknown } else { CallOutcome::NotRun }
-}
-
-/// Returns an answer with the key of its request.
-pub(crate) fn with_key(mut answer: CallAnswer, key: Uuid) -> CallAnswer {
-    answer.headers.push(HeaderField {
-        name: header::IDEMPOTENCY_KEY.to_owned(),
-        value: key.to_string().into_bytes(),
-    });
-    answer
-}
-
 fn allowed_time(call: &CallRequest, spec: &ServiceSpec) -> Duration {
     let ms = if call.deadline_ms == 0 { spec.timeout_ms } else { call.deadline_ms };
     Duration::from_millis(u64::from(ms))
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -12,7 +12,9 @@
 mod node;
 mod once;
 mod owned_shards;
+mod prepared_call;
 mod prober;
+mod relay;
 mod service_pool;
 
 pub use claims::{ClaimError, ClaimLedger, ReplicatedLedger};
--- a/crates/entry/src/once.rs
+++ b/crates/entry/src/once.rs
@@ -5,7 +5,7 @@
     active_call::{ActiveCall, CallSource},
     attempts::{AttemptEnd, TryRunner},
     claims::{ClaimError, ClaimLedger},
-    dispatch::{CallDispatcher, ForwardEnd, MAX_ATTEMPTS, unseen_outcome, with_key},
+    relay::{CallRelay, ForwardEnd, MAX_ATTEMPTS, unseen_outcome, with_key},
     service_pool::AcquireError,
 };
 use runtime::EventKind;
@@ -33,13 +33,13 @@
     }
 
     /// Runs a request that carries a key, the caller's or one made here.
-    pub(crate) async fn run(&self, dispatcher: &CallDispatcher, active: ActiveCall) -> CallAnswer {
+    pub(crate) async fn run(&self, relay: &dyn CallRelay, active: ActiveCall) -> CallAnswer {
         let Some(key) = active.call.key else {
             return CallAnswer::refusal(500, CallOutcome::NotRun, "the request has no key");
         };
-        let answer = match self.run_elsewhere(dispatcher, &active).await {
+        let answer = match self.run_elsewhere(relay, &active).await {
             Some(answer) => answer,
-            None => self.run_claimed(dispatcher, &active, key).await,
+            None => self.run_claimed(relay, &active, key).await,
         };
         with_key(active.qualify(answer), key)
     }
@@ -48,14 +48,14 @@
     /// there. Returns `None` if the request is to be run here.
     async fn run_elsewhere(
         &self,
-        dispatcher: &CallDispatcher,
+        relay: &dyn CallRelay,
         active: &ActiveCall,
     ) -> Option<CallAnswer> {
         if active.source == CallSource::Entry {
             return None;
         }
         for owner in active.pool.owners_instead()? {
-            match dispatcher.forward(active, &owner, active.deadline).await {
+            match relay.forward(active, &owner, active.deadline).await {
                 ForwardEnd::NotReached => {}
                 ForwardEnd::Answered(mut answer) => {
                     answer.headers.retain(|field| field.name != header::IDEMPOTENCY_KEY);
@@ -66,12 +66,12 @@
                 }
             }
         }
-        Some(dispatcher.refuse_busy(active.stated_key, Duration::ZERO))
+        Some(relay.refuse_busy(active.stated_key, Duration::ZERO))
     }
 
     async fn run_claimed(
         &self,
-        dispatcher: &CallDispatcher,
+        relay: &dyn CallRelay,
         active: &ActiveCall,
         key: Uuid,
     ) -> CallAnswer {
@@ -81,10 +81,10 @@
         self.context.record_call(EventKind::ClaimDecided, active.call.id, detail);
         match decided {
             Ok(ClaimAnswer::Granted) => {}
-            Ok(other) => return refuse_claim(other, dispatcher),
+            Ok(other) => return refuse_claim(other, relay),
             Err(error) => {
                 self.release(&active.call, &claim);
-                return refuse_undecided(&error, active.stated_key, dispatcher);
+                return refuse_undecided(&error, active.stated_key, relay);
             }
         }
         match self.run_granted(active).await {
@@ -97,11 +97,11 @@
             AttemptEnd::NotRun(reason) => {
                 self.release(&active.call, &claim);
                 CallAnswer::refusal(503, CallOutcome::NotRun, &reason)
-                    .with_retry_after(dispatcher.retry_after_ms(Duration::ZERO))
+                    .with_retry_after(relay.retry_after_ms(Duration::ZERO))
             }
             AttemptEnd::Closed => {
                 self.release(&active.call, &claim);
-                dispatcher.refuse_closed(None)
+                relay.refuse_closed(None)
             }
             AttemptEnd::Unknown(reason) => CallAnswer::refusal(502, CallOutcome::Unknown, &reason),
             AttemptEnd::Late => {
@@ -155,14 +155,14 @@
 fn refuse_undecided(
     error: &ClaimError,
     stated_key: Option<Uuid>,
-    dispatcher: &CallDispatcher,
+    relay: &dyn CallRelay,
 ) -> CallAnswer {
     CallAnswer::refusal(503, unseen_outcome(stated_key), &error.to_string())
-        .with_retry_after(dispatcher.retry_after_ms(Duration::ZERO))
+        .with_retry_after(relay.retry_after_ms(Duration::ZERO))
 }
 
 /// Answers a request whose claim was not granted.
-fn refuse_claim(answer: ClaimAnswer, dispatcher: &CallDispatcher) -> CallAnswer {
+fn refuse_claim(answer: ClaimAnswer, relay: &dyn CallRelay) -> CallAnswer {
     let refusal = CallAnswer::refusal;
     match answer {
         ClaimAnswer::Ran { status } => {
@@ -170,7 +170,7 @@
         }
         ClaimAnswer::Granted | ClaimAnswer::Held | ClaimAnswer::Released => {
             refusal(409, CallOutcome::Unknown, "the request was sent before and may have run")
-                .with_retry_after(dispatcher.retry_after_ms(Duration::from_secs(1)))
+                .with_retry_after(relay.retry_after_ms(Duration::from_secs(1)))
         }
         ClaimAnswer::OtherRequest => {
             refusal(422, CallOutcome::Unknown, "idempotency-key: used before for another request")
