Let followers serve entries, with a read index of the leader

Cause: the leader alone confirmed the views of all entries. Ruled out: relays among entries (a second hop of staleness); views by followers without the leader's word (they may lag behind without bound). A follower asks the leader for a read index, one request for all entries that wait, and serves them once it has applied the log up to there. Entries find a replica of their own failure domain by trying, and ask the leader too when that does not answer in 200 ms.

--- a/crates/control/tests/group.rs
+++ b/crates/control/tests/group.rs
@@ -56,6 +56,7 @@
             identity: store.identity(),
             host: host.clone(),
             address,
+            domain: "d".parse().expect("valid"),
             core: CoreSettings { seed: u64::from(address.port()), ..CoreSettings::default() },
             leader_wait: LEADER_WAIT,
             link,
--- a/crates/daemon/src/handler.rs
+++ b/crates/daemon/src/handler.rs
@@ -20,6 +20,7 @@
         let answer = match &request {
             PeerRequest::Consensus(_)
             | PeerRequest::Freshness(_)
+            | PeerRequest::ReadIndex(_)
             | PeerRequest::Submit(_)
             | PeerRequest::ServersSeen(_)
             | PeerRequest::ChangeMembership(_) => match self.replica.get() {
--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -112,6 +112,7 @@
             identity: store.identity(),
             host: self.settings.name.clone(),
             address: self.settings.peer_address,
+            domain: self.settings.failure_domain.clone(),
             core: CoreSettings { seed: random(), ..CoreSettings::default() },
             leader_wait: LEADER_WAIT,
             link: self.link(),
--- a/crates/daemon/src/site.rs
+++ b/crates/daemon/src/site.rs
@@ -195,6 +195,7 @@
             identity: store.identity(),
             host: settings.host.clone(),
             address: settings.peer_address(),
+            domain: settings.domain.clone(),
             core: CoreSettings { seed: random(), ..CoreSettings::default() },
             leader_wait: LEADER_WAIT,
             link: Arc::new(self.node.clone()),
--- a/crates/follow/src/keeper.rs
+++ b/crates/follow/src/keeper.rs
@@ -3,15 +3,20 @@
 //! The time at which a request was sent, not that of its answer, is what the view is fresh as of:
 //! the leader answers only after a quorum round that began after the request arrived.
 
-use crate::{LeaderAnswer, LeaderFinder};
-use peer::{FreshnessAnswer, FreshnessGrant, FreshnessRequest, PeerAnswer, PeerRequest};
+use crate::{LeaderAnswer, LeaderFinder, NearReplicas};
+use futures_util::future::{Either, select};
+use peer::{
+    FreshnessAnswer, FreshnessGrant, FreshnessRequest, PeerAnswer, PeerRequest, PeerTarget,
+};
 use runtime::{DecisionCounters, EventKind, EventTags, EventTimeline, Logger, TimerService};
 use slog::{info, warn};
 use std::{
+    net::SocketAddr,
+    pin::pin,
     sync::Arc,
     time::{Duration, Instant},
 };
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 use types::{ClusterView, EntryInfo, ViewVersion};
 
 /// Period of freshness requests.
@@ -23,6 +28,12 @@
 /// Pause until the next request for a first view, in multiples of the time that the last one took.
 /// When all entries start together, replicas that are slow to answer are asked less often.
 const FIRST_VIEW_BACKOFF: u32 = 2;
+/// Time after which the leader is asked beside a near replica that has not answered. A near one
+/// answers after up to two quorum rounds of the leader, which are 50 ms apart.
+const NEAR_PATIENCE: Duration = Duration::from_millis(200);
+/// The same until there is a first view, which takes up to 100 ms over a link of 2 Mbit/s, and
+/// should not be sent twice.
+const FIRST_VIEW_PATIENCE: Duration = Duration::from_millis(300);
 /// Time allowed for one request.
 const RENEW_TIMEOUT: Duration = Duration::from_millis(600);
 
@@ -58,13 +69,19 @@
     holder: Arc<dyn ViewHolder>,
     leader: Arc<LeaderFinder>,
     tools: KeeperTools,
+    near: NearReplicas,
+    /// Keeps the choice among replicas that are equally near.
+    draw: f64,
+    /// The replica that served the view last.
+    server: Option<SocketAddr>,
     was_open: bool,
 }
 
 impl FreshnessKeeper {
     /// Returns a keeper of the holder's view.
     pub fn new(holder: Arc<dyn ViewHolder>, leader: Arc<LeaderFinder>, tools: KeeperTools) -> Self {
-        Self { holder, leader, tools, was_open: false }
+        let near = NearReplicas::new(holder.info().domain);
+        Self { holder, leader, tools, near, draw: rand::random(), server: None, was_open: false }
     }
 
     /// Asks the leader periodically until the timer service ends.
@@ -86,19 +103,67 @@
     async fn renew(&mut self) {
         let sent = Instant::now();
         let version = self.holder.view().version;
-        let request = FreshnessRequest { entry: Some(self.holder.info()), version };
-        let request = PeerRequest::Freshness(request);
-        let answer = self.leader.ask(&request, RENEW_TIMEOUT, is_granted).await;
-        match answer {
-            Some(PeerAnswer::Freshness(answer)) => {
-                if let FreshnessAnswer::Granted(grant) = *answer {
-                    self.take_grant(grant, version, sent);
-                }
-            }
-            _ => self.tools.counters.count("not-confirmed"),
+        match self.ask(version).await {
+            Some(grant) => self.take_grant(grant, version, sent),
+            None => self.tools.counters.count("not-confirmed"),
+        }
+    }
+
+    /// Asks a near replica, and the leader too if that one does not answer soon.
+    async fn ask(&mut self, version: ViewVersion) -> Option<FreshnessGrant> {
+        let request = |may_relay| {
+            let entry = Some(self.holder.info());
+            PeerRequest::Freshness(FreshnessRequest { entry, version, may_relay })
+        };
+        let (near_request, request) = (request(true), request(false));
+        let Some(target) = self.near_replica() else {
+            return granted(self.leader.ask(&request, RENEW_TIMEOUT, is_granted).await);
+        };
+        let leader = self.leader.clone();
+        let mut near = pin!(leader.ask_one(&target, near_request, RENEW_TIMEOUT));
+        let is_first = version == ViewVersion::default();
+        let patience = if is_first { FIRST_VIEW_PATIENCE } else { NEAR_PATIENCE };
+        let served = timeout(patience, &mut near).await;
+        let is_silent = served.is_err();
+        if let Some(grant) = granted(served.ok().and_then(Result::ok)) {
+            self.near.note_served(target.address, grant.domain.clone());
+            self.note_server(&target, &grant);
+            return Some(grant);
+        }
+        self.near.note_failed(target.address, Instant::now());
+        self.tools.counters.count("near-replica-failed");
+        if self.server.take().is_some() {
+            warn!(self.tools.logger, "replica does not confirm the view";
+                "replica" => %target.address, "silent" => is_silent);
+        }
+        let direct = pin!(leader.ask(&request, RENEW_TIMEOUT, is_granted));
+        if !is_silent {
+            return granted(direct.await);
+        }
+        match select(near, direct).await {
+            Either::Left((answer, direct)) => match granted(answer.ok()) {
+                Some(grant) => Some(grant),
+                None => granted(direct.await),
+            },
+            Either::Right((answer, _)) => granted(answer),
+        }
+    }
+
+    fn note_server(&mut self, target: &PeerTarget, grant: &FreshnessGrant) {
+        if self.server.replace(target.address) != Some(target.address) {
+            info!(self.tools.logger, "replica confirms the view"; "replica" => %target.address,
+                "domain" => %grant.domain);
         }
     }
 
+    fn near_replica(&mut self) -> Option<PeerTarget> {
+        let replicas = self.leader.replicas();
+        let addresses: Vec<SocketAddr> = replicas.iter().map(|replica| replica.address).collect();
+        self.near.retain(&addresses);
+        let chosen = self.near.choose(Instant::now(), &addresses, self.draw)?;
+        replicas.into_iter().find(|replica| replica.address == chosen)
+    }
+
     fn take_grant(&self, grant: FreshnessGrant, asked: ViewVersion, sent: Instant) {
         self.leader.learn(&grant.replicas);
         let current = self.holder.view();
@@ -144,6 +209,17 @@
     (last_took * FIRST_VIEW_BACKOFF).clamp(FIRST_VIEW_PERIOD, MAX_FIRST_VIEW_PERIOD)
 }
 
+/// Returns what a replica granted.
+fn granted(answer: Option<PeerAnswer>) -> Option<FreshnessGrant> {
+    match answer {
+        Some(PeerAnswer::Freshness(answer)) => match *answer {
+            FreshnessAnswer::Granted(grant) => Some(grant),
+            FreshnessAnswer::NotLeader(_) => None,
+        },
+        _ => None,
+    }
+}
+
 /// Says whether the answer to a freshness request comes from the leader.
 pub(crate) fn is_granted(answer: &PeerAnswer) -> LeaderAnswer {
     match answer {
--- a/crates/follow/src/leader.rs
+++ b/crates/follow/src/leader.rs
@@ -199,7 +199,8 @@
     /// Reads the whole view as of now. Returns `None` if no leader confirms it in time.
     pub async fn read_view(&self, timeout: Duration) -> Option<ClusterView> {
         let version = ViewVersion(u64::MAX);
-        let request = PeerRequest::Freshness(FreshnessRequest { entry: None, version });
+        let request =
+            PeerRequest::Freshness(FreshnessRequest { entry: None, version, may_relay: false });
         let PeerAnswer::Freshness(answer) = self.ask(&request, timeout, is_granted).await? else {
             return None;
         };
@@ -216,7 +217,8 @@
     /// time.
     pub async fn read_since(&self, base: &ClusterView, timeout: Duration) -> Option<ClusterView> {
         let version = base.version;
-        let request = PeerRequest::Freshness(FreshnessRequest { entry: None, version });
+        let request =
+            PeerRequest::Freshness(FreshnessRequest { entry: None, version, may_relay: false });
         let PeerAnswer::Freshness(answer) = self.ask(&request, timeout, is_granted).await? else {
             return None;
         };
@@ -261,6 +263,21 @@
         }
     }
 
+    /// Returns all replicas that are known, or the seeds as long as none are.
+    pub(crate) fn replicas(&self) -> Vec<PeerTarget> {
+        self.targets.lock().known.clone()
+    }
+
+    /// Sends a request to one replica.
+    pub(crate) async fn ask_one(
+        &self,
+        target: &PeerTarget,
+        request: PeerRequest,
+        timeout: Duration,
+    ) -> Result<PeerAnswer, PeerError> {
+        self.link.call(target, request, timeout).await
+    }
+
     /// Returns the leader, as far as known.
     pub fn leader(&self) -> Option<PeerTarget> {
         self.targets.lock().leader.clone()
--- a/crates/follow/src/lib.rs
+++ b/crates/follow/src/lib.rs
@@ -2,6 +2,8 @@
 
 mod keeper;
 mod leader;
+mod near;
 
 pub use keeper::{FreshnessKeeper, KeeperTools, ViewHolder};
 pub use leader::{LeaderAnswer, LeaderFinder, SubmitResult};
+pub use near::NearReplicas;
--- a/crates/gateway/tests/harness/mod.rs
+++ b/crates/gateway/tests/harness/mod.rs
@@ -233,7 +233,8 @@
             return Ok(PeerAnswer::Done);
         };
         let update: ViewUpdate = self.state.lock().update_since(request.version);
-        let grant = FreshnessGrant { update, replicas: Vec::new() };
+        let domain = "a".parse().expect("name");
+        let grant = FreshnessGrant { update, replicas: Vec::new(), domain };
         Ok(PeerAnswer::Freshness(Box::new(FreshnessAnswer::Granted(grant))))
     }
 
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -20,7 +20,7 @@
 pub use link::{PeerHandler, PeerLink, PeerTarget};
 pub use message::{
     ConsensusMessage, FreshnessAnswer, FreshnessGrant, FreshnessRequest, PeerAnswer, PeerRequest,
-    SubmitAnswer,
+    ReadIndexRequest, SubmitAnswer,
 };
 pub use node::{LinkTraffic, PeerNode};
 pub use reach::{ATTEMPT_PERIOD, reach};
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -1,13 +1,13 @@
 //! Messages between processes.
 
-use consensus::{Envelope, MembershipChange};
+use consensus::{Envelope, LogIndex, MembershipChange};
 use runtime::ReplicaAddress;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use types::{
-    Announcement, CallAnswer, CallRequest, Command, CommandAnswer, EntryInfo, HostName, OwnerBeat,
-    RegistryDelta, RegistryRequest, ServerIncarnation, ServerName, SuspectReport, ViewUpdate,
-    ViewVersion,
+    Announcement, CallAnswer, CallRequest, Command, CommandAnswer, DomainName, EntryInfo,
+    EntryName, HostName, OwnerBeat, RegistryDelta, RegistryRequest, ServerIncarnation, ServerName,
+    SuspectReport, ViewUpdate, ViewVersion,
 };
 
 /// A request, or a message without answer.
@@ -31,6 +31,8 @@
     Suspect(SuspectReport),
     /// Hands a request over to another entry.
     CallForward(CallRequest),
+    /// Asks the leader up to which index a follower must have applied the log to serve entries.
+    ReadIndex(ReadIndexRequest),
     /// Tells the leader which servers were heard of; has no answer.
     ServersSeen(Vec<(ServerName, ServerIncarnation)>),
 }
@@ -57,6 +59,8 @@
     Freshness(Box<FreshnessAnswer>),
     /// To a command or a change of the set of replicas.
     Submit(SubmitAnswer),
+    /// To a read index request; `None` if the asked replica does not lead.
+    ReadIndex(Option<LogIndex>),
     /// To a registry request.
     Registry(RegistryDelta),
     /// To a forwarded request.
@@ -72,6 +76,17 @@
     pub entry: Option<EntryInfo>,
     /// The version of its view.
     pub version: ViewVersion,
+    /// A follower may serve the request too, once the leader has told it how far its log must be.
+    pub may_relay: bool,
+}
+
+/// A follower's request for a read index, on behalf of the entries that it serves.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct ReadIndexRequest {
+    /// The entries, with the versions of their views.
+    pub entries: Vec<(EntryName, ViewVersion)>,
+    /// Those that the follower's view does not show as they are.
+    pub changed: Vec<EntryInfo>,
 }
 
 /// The answer to a freshness request.
@@ -90,6 +105,8 @@
     pub update: ViewUpdate,
     /// All replicas, for the next requests.
     pub replicas: Vec<ReplicaAddress>,
+    /// The failure domain of the replica that answers.
+    pub domain: DomainName,
 }
 
 /// The answer to a command.
--- a/crates/peer/tests/messages.rs
+++ b/crates/peer/tests/messages.rs
@@ -77,6 +77,7 @@
             host: name("h"),
             address: "127.0.0.1:1".parse().expect("valid"),
         }],
+        domain: "d".parse().expect("valid"),
     };
     let call = CallAnswer::refusal(503, CallOutcome::NotRun, "busy").with_retry_after(7);
     vec![
--- a/crates/replica/src/driver.rs
+++ b/crates/replica/src/driver.rs
@@ -3,6 +3,7 @@
 //! All inputs that wait are taken as one batch, so that one sync serves them all.
 
 mod reads;
+mod relays;
 mod report;
 mod snapshots;
 
@@ -19,9 +20,10 @@
 use parking_lot::RwLock;
 use peer::{
     ConsensusMessage, FreshnessAnswer, FreshnessRequest, PeerLink, PeerRequest, PeerTarget,
-    SubmitAnswer,
+    ReadIndexRequest, SubmitAnswer,
 };
 use reads::ParkedFreshness;
+use relays::RelayQueue;
 use runtime::{
     DecisionCounters, EventKind, EventTags, EventTimeline, Logger, ReplicaAddress, TimerService,
     wall_clock_ms,
@@ -39,8 +41,8 @@
     sync::{mpsc, oneshot},
 };
 use types::{
-    ChangeAction, ClusterState, Command, CommandAnswer, HostName, LogTime, ServerIncarnation,
-    ServerName, SourceText,
+    ChangeAction, ClusterState, Command, CommandAnswer, DomainName, HostName, LogTime,
+    ServerIncarnation, ServerName, SourceText,
 };
 
 /// Inputs that may wait for the thread.
@@ -64,6 +66,8 @@
     pub host: HostName,
     /// Where other processes reach this one.
     pub address: SocketAddr,
+    /// Failure domain of the host.
+    pub domain: DomainName,
     /// Timing of the core.
     pub core: CoreSettings,
     /// How long a request of an entry waits for a leader to be known, see [`LEADER_WAIT`].
@@ -86,6 +90,9 @@
     Submit(Command, oneshot::Sender<SubmitAnswer>),
     ChangeMembership(MembershipChange, oneshot::Sender<SubmitAnswer>),
     Freshness(FreshnessRequest, oneshot::Sender<FreshnessAnswer>),
+    ReadIndex(ReadIndexRequest, oneshot::Sender<Option<LogIndex>>),
+    /// The leader's answer to the read index request of this replica.
+    Relayed(Option<LogIndex>),
     ServersSeen(Vec<(ServerName, ServerIncarnation)>),
     Bootstrap(Vec<Member>, oneshot::Sender<Result<(), String>>),
     Status(oneshot::Sender<ReplicaStatus>),
@@ -112,6 +119,8 @@
     routing_source: Arc<RwLock<SourceText>>,
     commands: BTreeMap<LogIndex, PendingCommand>,
     freshness: HashMap<ReadToken, PendingFreshness>,
+    index_reads: HashMap<ReadToken, oneshot::Sender<Option<LogIndex>>>,
+    relays: RelayQueue,
     ready_reads: Vec<ReadyRead>,
     parked: Vec<ParkedFreshness>,
     next_token: u64,
@@ -143,7 +152,7 @@
             }
         }
     });
-    let driver = ReplicaDriver::new(settings, store, restored)?;
+    let driver = ReplicaDriver::new(settings, store, restored, inputs.downgrade())?;
     let (view, routing_source) = (driver.view.clone(), driver.routing_source.clone());
     let handle = ReplicaHandle { inputs, view, routing_source };
     let runtime = Handle::current();
@@ -159,6 +168,7 @@
         settings: ReplicaSettings,
         store: Box<dyn ReplicaStore>,
         restored: Restored,
+        inputs: mpsc::WeakSender<ReplicaInput>,
     ) -> Result<Self, StoreError> {
         let state = decode_state(restored.image.as_ref())?;
         let applied = restored.image.as_ref().map_or(LogIndex(0), |image| image.index);
@@ -176,6 +186,8 @@
             routing_source,
             commands: BTreeMap::new(),
             freshness: HashMap::new(),
+            index_reads: HashMap::new(),
+            relays: RelayQueue::new(inputs),
             ready_reads: Vec::new(),
             parked: Vec::new(),
             next_token: 0,
@@ -219,6 +231,8 @@
                 self.change_membership(&change, reply);
             }
             ReplicaInput::Freshness(request, reply) => self.start_freshness(request, reply),
+            ReplicaInput::ReadIndex(request, reply) => self.start_read_index(request, reply),
+            ReplicaInput::Relayed(index) => self.take_read_index(index),
             ReplicaInput::ServersSeen(servers) => {
                 self.server_watch.observe(servers, Instant::now());
             }
@@ -233,6 +247,8 @@
         let reason = "the disk of this replica refuses writes".to_owned();
         match input {
             ReplicaInput::Tick(_) | ReplicaInput::Message(_) | ReplicaInput::ServersSeen(_) => {}
+            ReplicaInput::ReadIndex(_, reply) => answer(reply, None),
+            ReplicaInput::Relayed(_) => self.take_read_index(None),
             ReplicaInput::Submit(_, reply) | ReplicaInput::ChangeMembership(_, reply) => {
                 self.settings.counters.count("refused-disk");
                 answer(reply, SubmitAnswer::Refused(reason));
@@ -329,6 +345,7 @@
             }
         }
         self.expire_parked(Instant::now());
+        self.start_relay();
         self.make_snapshot();
     }
 
@@ -373,6 +390,7 @@
         self.publish_view();
         self.ready_reads.append(&mut effects.reads);
         self.finish_freshness();
+        self.finish_relays();
         for token in effects.failed_reads.drain(..) {
             self.fail_freshness(token);
         }
@@ -510,7 +528,11 @@
         for pending in std::mem::take(&mut self.freshness).into_values() {
             answer(pending.reply, FreshnessAnswer::NotLeader(None));
         }
+        for reply in std::mem::take(&mut self.index_reads).into_values() {
+            answer(reply, None);
+        }
         self.expire_parked(Instant::now() + self.settings.leader_wait);
+        self.drop_relays();
         self.ready_reads.clear();
     }
 }
--- a/crates/replica/src/driver/reads.rs
+++ b/crates/replica/src/driver/reads.rs
@@ -24,7 +24,9 @@
         self.next_token += 1;
         if self.core.read(token).is_err() {
             let pending = PendingFreshness { request, reply };
-            if self.core.leader() == LeaderHint(None) {
+            if self.core.leader() != LeaderHint(None) && pending.request.may_relay {
+                self.relays.queue(pending);
+            } else if self.core.leader() == LeaderHint(None) {
                 let until = Instant::now() + self.settings.leader_wait;
                 self.parked.push(ParkedFreshness { until, pending });
             } else {
@@ -45,18 +47,29 @@
         let applied = self.applied;
         let ready = std::mem::take(&mut self.ready_reads);
         for read in ready {
-            if read.index > applied {
+            if let Some(reply) = self.index_reads.remove(&read.token) {
+                answer(reply, Some(read.index));
+            } else if read.index > applied {
                 self.ready_reads.push(read);
             } else if let Some(pending) = self.freshness.remove(&read.token) {
-                let update = self.state.update_since(pending.request.version);
-                let replicas = self.replica_addresses();
-                let grant = FreshnessGrant { update, replicas };
-                answer(pending.reply, FreshnessAnswer::Granted(grant));
+                self.grant(pending);
             }
         }
     }
 
+    /// Answers with what the entry lacks of this replica's view.
+    pub(super) fn grant(&self, pending: PendingFreshness) {
+        let update = self.state.update_since(pending.request.version);
+        let replicas = self.replica_addresses();
+        let domain = self.settings.domain.clone();
+        let grant = FreshnessGrant { update, replicas, domain };
+        answer(pending.reply, FreshnessAnswer::Granted(grant));
+    }
+
     pub(super) fn fail_freshness(&mut self, token: ReadToken) {
+        if let Some(reply) = self.index_reads.remove(&token) {
+            answer(reply, None);
+        }
         if let Some(pending) = self.freshness.remove(&token) {
             self.refer(pending);
         }
@@ -82,7 +95,7 @@
         }
     }
 
-    fn refer(&self, pending: PendingFreshness) {
+    pub(super) fn refer(&self, pending: PendingFreshness) {
         let hint = self.leader_address(self.core.leader());
         answer(pending.reply, FreshnessAnswer::NotLeader(hint));
     }
--- /dev/null
+++ b/crates/replica/src/driver/relays.rs
@@ -0,0 +1,143 @@
+//! Reads that a follower serves for the leader.
+//!
+//! A follower asks the leader for a read index, which the leader gives after a quorum round, and
+//! serves its entries once it has applied the log up to there. One request stands for all entries
+//! that wait, so that the leader's work grows with the replicas and not with the entries, and views
+//! need not cross failure domains.
+
+use super::{PendingFreshness, ReplicaDriver, ReplicaInput, answer};
+use crate::entry_watch::EntryWatch;
+use consensus::{LogIndex, ReadToken};
+use peer::{PeerAnswer, PeerRequest, PeerTarget, ReadIndexRequest};
+use std::time::{Duration, Instant};
+use tokio::sync::{mpsc, oneshot};
+
+/// Time allowed to the leader for a read index. Entries give a follower less before they ask the
+/// leader themselves.
+const READ_INDEX_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Requests of entries on their way through the leader.
+pub(super) struct RelayQueue {
+    inputs: mpsc::WeakSender<ReplicaInput>,
+    /// Came after the request that is on its way to the leader.
+    queued: Vec<PendingFreshness>,
+    /// Stand behind the request that is on its way.
+    asked: Vec<PendingFreshness>,
+    is_asking: bool,
+    /// Have their index, which is not applied yet.
+    indexed: Vec<(LogIndex, PendingFreshness)>,
+}
+
+impl RelayQueue {
+    pub(super) fn new(inputs: mpsc::WeakSender<ReplicaInput>) -> Self {
+        let (queued, asked, indexed) = (Vec::new(), Vec::new(), Vec::new());
+        Self { inputs, queued, asked, is_asking: false, indexed }
+    }
+
+    pub(super) fn queue(&mut self, pending: PendingFreshness) {
+        self.queued.push(pending);
+    }
+}
+
+impl ReplicaDriver {
+    /// Asks the leader on behalf of the entries that wait, unless a request is on its way already.
+    pub(super) fn start_relay(&mut self) {
+        if self.relays.is_asking || self.relays.queued.is_empty() {
+            return;
+        }
+        let queued = std::mem::take(&mut self.relays.queued);
+        let leader = self.leader_address(self.core.leader());
+        let (Some(leader), Some(inputs)) = (leader, self.relays.inputs.upgrade()) else {
+            queued.into_iter().for_each(|pending| self.refer(pending));
+            return;
+        };
+        let request = PeerRequest::ReadIndex(self.read_index_request(&queued));
+        self.relays.asked = queued;
+        self.relays.is_asking = true;
+        let link = self.settings.link.clone();
+        tokio::spawn(async move {
+            let target = PeerTarget { host: leader.host, address: leader.address };
+            let index = match link.call(&target, request, READ_INDEX_TIMEOUT).await {
+                Ok(PeerAnswer::ReadIndex(index)) => index,
+                // The entries are told that this replica cannot serve them.
+                _ => None,
+            };
+            // A replica that has stopped serves no entry.
+            let _ = inputs.send(ReplicaInput::Relayed(index)).await;
+        });
+    }
+
+    /// Takes the leader's answer, `None` if there was none.
+    pub(super) fn take_read_index(&mut self, index: Option<LogIndex>) {
+        self.relays.is_asking = false;
+        let asked = std::mem::take(&mut self.relays.asked);
+        match index {
+            Some(index) => {
+                self.relays.indexed.extend(asked.into_iter().map(|pending| (index, pending)));
+                self.finish_relays();
+            }
+            None => {
+                self.settings.counters.count("read-index-failed");
+                asked.into_iter().for_each(|pending| self.refer(pending));
+            }
+        }
+    }
+
+    /// Serves the entries whose index is applied.
+    pub(super) fn finish_relays(&mut self) {
+        let applied = self.applied;
+        let is_ready = |(index, _): &mut (LogIndex, PendingFreshness)| *index <= applied;
+        let ready: Vec<_> = self.relays.indexed.extract_if(.., is_ready).collect();
+        ready.into_iter().for_each(|(_, pending)| self.grant(pending));
+        // Entries that no longer wait need no answer.
+        self.relays.indexed.retain(|(_, pending)| !pending.reply.is_closed());
+    }
+
+    /// Sends all entries elsewhere.
+    pub(super) fn drop_relays(&mut self) {
+        let indexed = std::mem::take(&mut self.relays.indexed);
+        let queued = std::mem::take(&mut self.relays.queued);
+        indexed.into_iter().for_each(|(_, pending)| self.refer(pending));
+        queued.into_iter().for_each(|pending| self.refer(pending));
+    }
+
+    /// Begins a quorum round for a follower, if this replica leads.
+    pub(super) fn start_read_index(
+        &mut self,
+        request: ReadIndexRequest,
+        reply: oneshot::Sender<Option<LogIndex>>,
+    ) {
+        let token = ReadToken(self.next_token);
+        self.next_token += 1;
+        if self.core.read(token).is_err() {
+            return answer(reply, None);
+        }
+        let now = Instant::now();
+        for (entry, version) in &request.entries {
+            self.watch.observe(entry, *version, now);
+        }
+        for entry in &request.changed {
+            for command in EntryWatch::registration(self.state.view(), entry) {
+                self.propose_own(command);
+            }
+        }
+        self.index_reads.insert(token, reply);
+    }
+
+    fn read_index_request(&self, queued: &[PendingFreshness]) -> ReadIndexRequest {
+        let view = self.state.view();
+        let asking = || {
+            queued.iter().filter_map(|pending| {
+                pending.request.entry.as_ref().map(|entry| (entry, pending.request.version))
+            })
+        };
+        ReadIndexRequest {
+            entries: asking().map(|(entry, version)| (entry.name.clone(), version)).collect(),
+            changed: asking()
+                .map(|(entry, _)| entry)
+                .filter(|entry| view.entry(&entry.name) != Some(*entry))
+                .cloned()
+                .collect(),
+        }
+    }
+}
--- a/crates/replica/src/handle.rs
+++ b/crates/replica/src/handle.rs
@@ -91,6 +91,10 @@
                 }
                 Some(PeerAnswer::Freshness(Box::new(self.freshness(request).await)))
             }
+            PeerRequest::ReadIndex(request) => {
+                let index = self.ask(|reply| ReplicaInput::ReadIndex(request, reply)).await;
+                Some(PeerAnswer::ReadIndex(index.unwrap_or(None)))
+            }
             PeerRequest::Submit(command) => {
                 if let Err(reason) = check_sender(host, &command) {
                     return Some(PeerAnswer::Refused(reason.to_owned()));
--- a/crates/replica/tests/driver.rs
+++ b/crates/replica/tests/driver.rs
@@ -5,7 +5,10 @@
 use hawthornhill_replica::{
     FileStore, LogBatch, ReplicaHandle, ReplicaSettings, ReplicaStore, StoreError, start_replica,
 };
-use peer::{FreshnessAnswer, FreshnessRequest, PeerAnswer, PeerHandler, PeerRequest, SubmitAnswer};
+use peer::{
+    FreshnessAnswer, FreshnessGrant, FreshnessRequest, PeerAnswer, PeerHandler, PeerRequest,
+    SubmitAnswer,
+};
 use runtime::{EventTimeline, LogFormat, MetricsRegistry, TimerService, root_logger};
 use std::{
     io,
@@ -21,7 +24,7 @@
 use testkit::{LinkSwitch, MemoryNet};
 use types::{
     ChangeAction, ChangeAnswer, ChangeId, ChangeRequest, Command, CommandAnswer, DocumentVersion,
-    EntryIncarnation, EntryInfo, HostName, ViewVersion,
+    EntryIncarnation, EntryInfo, HostName, ViewUpdate, ViewVersion,
 };
 use uuid::Uuid;
 
@@ -69,6 +72,7 @@
         identity,
         host: host(number),
         address: address(number),
+        domain: "d".parse().expect("valid"),
         core: CoreSettings { seed: number, ..CoreSettings::default() },
         leader_wait: LONG_WAIT,
         link: switch.clone(),
@@ -156,7 +160,7 @@
         serving: true,
         owns_shards: true,
     };
-    FreshnessRequest { entry: Some(entry), version: ViewVersion(0) }
+    FreshnessRequest { entry: Some(entry), version: ViewVersion(0), may_relay: false }
 }
 
 fn drain(number: u128, expected: u64) -> Command {
@@ -212,6 +216,51 @@
     assert_eq!(answers.iter().filter(names_leader).count(), 2, "{answers:?}");
 }
 
+fn granted(answer: FreshnessAnswer) -> FreshnessGrant {
+    match answer {
+        FreshnessAnswer::Granted(grant) => grant,
+        FreshnessAnswer::NotLeader(_) => panic!("not granted"),
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn followers_serve_entries_with_all_that_was_committed_before() {
+    let cluster = Cluster::start(3).await;
+    let leader = cluster.leader().await;
+    let request = FreshnessRequest { may_relay: true, ..freshness_request() };
+    for number in 0..20 {
+        let change = cluster.nodes[leader].handle.submit(drain(number, number as u64)).await;
+        assert!(is_accepted(&change, number as u64 + 1), "{change:?}");
+        let follower = (leader + 1 + number as usize % 2) % 3;
+        let grant = granted(cluster.nodes[follower].handle.freshness(request.clone()).await);
+        let ViewUpdate::Whole(view) = grant.update else {
+            panic!("an entry that holds nothing gets the whole view");
+        };
+        let version = view.drain_version(&"d".parse().expect("valid"));
+        assert_eq!(version, DocumentVersion(number as u64 + 1), "an older view from a follower");
+    }
+    let status = cluster.nodes[leader].handle.status().await.expect("runs");
+    let ages: Vec<_> = status.entries.iter().map(|entry| entry.age_ms).collect();
+    assert!(matches!(ages[..], [Some(_)]), "the leader watches entries that followers serve");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn follower_that_is_cut_off_serves_no_entry() {
+    let cluster = Cluster::start(3).await;
+    let leader = cluster.leader().await;
+    let follower = (leader + 1) % 3;
+    let request = FreshnessRequest { may_relay: true, ..freshness_request() };
+    granted(cluster.nodes[follower].handle.freshness(request.clone()).await);
+    cluster.isolate(follower);
+    let asked = cluster.nodes[follower].handle.freshness(request.clone());
+    let answer = tokio::time::timeout(Duration::from_secs(5), asked).await;
+    assert!(
+        !matches!(answer, Ok(FreshnessAnswer::Granted(_))),
+        "a follower without its leader cannot know what was committed"
+    );
+    cluster.nodes.iter().for_each(|node| node.switch.heal());
+}
+
 /// A store whose disk is full while the flag is set.
 struct FullStore {
     inner: FileStore,
--- a/crates/testkit/examples/bench_replicas.rs
+++ b/crates/testkit/examples/bench_replicas.rs
@@ -41,6 +41,7 @@
         identity,
         host: host.clone(),
         address,
+        domain: "d".parse().expect("valid"),
         core: CoreSettings { seed: u64::from(number), ..CoreSettings::default() },
         leader_wait: LEADER_WAIT,
         link: net.link(host),
