Give a read index to replicas only

Cause: found when reading the diff: any process that reached the leader could register entries through a read index request, and a replica that was removed kept asking, so that entries waited on a log that no longer grows. Ruled out: checking the entries' names (a follower speaks for entries of other hosts by design). The leader answers only hosts of its set of replicas, and counts the others. Test: process_that_is_no_replica_gets_no_read_index, failing before.

--- a/crates/follow/src/keeper.rs
+++ b/crates/follow/src/keeper.rs
@@ -85,7 +85,7 @@
         Self { holder, leader, tools, near, draw: rand::random(), server: None, was_open: false }
     }
 
-    /// Asks the leader periodically until the timer service ends.
+    /// Renews periodically until the timer service ends.
     pub async fn run(mut self) {
         let mut ticks = self.tools.timer.subscribe(RENEW_PERIOD);
         loop {
@@ -118,9 +118,9 @@
             let request = FreshnessRequest { entry, version, known_replicas, may_relay };
             PeerRequest::Freshness(request)
         };
-        let (near_request, request) = (request(true), request(false));
+        let (near_request, direct_request) = (request(true), request(false));
         let Some(target) = self.near_replica() else {
-            return granted(self.leader.ask(&request, RENEW_TIMEOUT, is_granted).await);
+            return granted(self.leader.ask(&direct_request, RENEW_TIMEOUT, is_granted).await);
         };
         let leader = self.leader.clone();
         let mut near = pin!(leader.ask_one(&target, near_request, RENEW_TIMEOUT));
@@ -139,7 +139,7 @@
             warn!(self.tools.logger, "replica does not confirm the view";
                 "replica" => %target.address, "silent" => is_silent);
         }
-        let direct = pin!(leader.ask(&request, RENEW_TIMEOUT, is_granted));
+        let direct = pin!(leader.ask(&direct_request, RENEW_TIMEOUT, is_granted));
         if !is_silent {
             return granted(direct.await);
         }
--- a/crates/replica/src/driver/relays.rs
+++ b/crates/replica/src/driver/relays.rs
@@ -14,7 +14,7 @@
     time::{Duration, Instant},
 };
 use tokio::sync::{mpsc, oneshot};
-use types::{EntryName, ViewVersion};
+use types::{EntryName, HostName, ViewVersion};
 
 /// Time allowed to the leader for a read index. Entries give a follower less before they ask the
 /// leader themselves.
@@ -143,14 +143,21 @@
         queued.into_iter().for_each(|pending| self.refer(pending));
     }
 
-    /// Begins a quorum round for a follower, if this replica leads.
+    /// Begins a quorum round for a follower, if this replica leads. Processes that are no replicas
+    /// may not speak for entries, and replicas that were removed lag behind for good.
     pub(super) fn start_read_index(
         &mut self,
+        host: &HostName,
         request: ReadIndexRequest,
         reply: oneshot::Sender<Option<LogIndex>>,
     ) {
         let token = ReadToken(self.next_token);
         self.next_token += 1;
+        let mut members = self.core.membership().members().iter();
+        if !members.any(|member| member.host == *host) {
+            self.settings.counters.count("read-index-refused");
+            return answer(reply, None);
+        }
         if self.core.read(token).is_err() {
             return answer(reply, None);
         }
--- a/crates/replica/src/handle.rs
+++ b/crates/replica/src/handle.rs
@@ -92,7 +92,8 @@
                 Some(PeerAnswer::Freshness(Box::new(self.freshness(request).await)))
             }
             PeerRequest::ReadIndex(request) => {
-                let index = self.ask(|reply| ReplicaInput::ReadIndex(request, reply)).await;
+                let host = host.clone();
+                let index = self.ask(|reply| ReplicaInput::ReadIndex(host, request, reply)).await;
                 Some(PeerAnswer::ReadIndex(index.unwrap_or(None)))
             }
             PeerRequest::Submit(command) => {
--- a/crates/replica/tests/driver.rs
+++ b/crates/replica/tests/driver.rs
@@ -7,7 +7,7 @@
 };
 use peer::{
     FreshnessAnswer, FreshnessGrant, FreshnessRequest, PeerAnswer, PeerHandler, PeerRequest,
-    SubmitAnswer, replicas_digest,
+    ReadIndexRequest, SubmitAnswer, replicas_digest,
 };
 use runtime::{EventTimeline, LogFormat, MetricsRegistry, TimerService, root_logger};
 use std::{
@@ -263,6 +263,24 @@
     assert_eq!(granted(leader.freshness(request).await).replicas.len(), 3);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn process_that_is_no_replica_gets_no_read_index() {
+    let cluster = Cluster::start(3).await;
+    let leader = &cluster.nodes[cluster.leader().await].handle;
+    let FreshnessRequest { entry, .. } = freshness_request();
+    let request = || {
+        let changed = entry.clone().into_iter().collect();
+        PeerRequest::ReadIndex(ReadIndexRequest { entries: Vec::new(), changed })
+    };
+    let stranger = host(9);
+    let answer = leader.handle(&stranger, request()).await;
+    assert!(matches!(answer, Some(PeerAnswer::ReadIndex(None))), "{answer:?}");
+    let status = leader.status().await.expect("runs");
+    assert!(status.entries.is_empty(), "a stranger registers no entry");
+    let answer = leader.handle(&host(1), request()).await;
+    assert!(matches!(answer, Some(PeerAnswer::ReadIndex(Some(_)))), "{answer:?}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn follower_that_is_cut_off_serves_no_entry() {
     let cluster = Cluster::start(3).await;
