Know a follower that asks for a read index by its identity

Cause: the check of the commit before compared host names. Replicas that formed the set from seeds stand in it by address, so that two of five never served an entry.

Test: process_that_is_no_replica_gets_no_read_index, with a member under another host name.

--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -1,7 +1,7 @@
 //! Messages between processes.
 
 use crate::{PackedView, PeerError};
-use consensus::{Envelope, LogIndex, MembershipChange};
+use consensus::{Envelope, LogIndex, MembershipChange, ReplicaId};
 use runtime::ReplicaAddress;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -91,6 +91,9 @@
 /// A follower's request for a read index, on behalf of the entries that it serves.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct ReadIndexRequest {
+    /// The follower. Its host name is not enough: replicas that formed the set from seeds know each
+    /// other by address only.
+    pub replica: ReplicaId,
     /// The entries, with the versions of their views.
     pub entries: Vec<(EntryName, ViewVersion)>,
     /// Those that the follower's view does not show as they are.
--- a/crates/replica/src/driver.rs
+++ b/crates/replica/src/driver.rs
@@ -90,7 +90,7 @@
     Submit(Command, oneshot::Sender<SubmitAnswer>),
     ChangeMembership(MembershipChange, oneshot::Sender<SubmitAnswer>),
     Freshness(FreshnessRequest, oneshot::Sender<FreshnessAnswer>),
-    ReadIndex(HostName, ReadIndexRequest, oneshot::Sender<Option<LogIndex>>),
+    ReadIndex(ReadIndexRequest, oneshot::Sender<Option<LogIndex>>),
     /// The leader's answer to the read index request of this replica.
     Relayed(Option<LogIndex>),
     ServersSeen(Vec<(ServerName, ServerIncarnation)>),
@@ -233,9 +233,7 @@
                 self.change_membership(&change, reply);
             }
             ReplicaInput::Freshness(request, reply) => self.start_freshness(request, reply),
-            ReplicaInput::ReadIndex(host, request, reply) => {
-                self.start_read_index(&host, request, reply);
-            }
+            ReplicaInput::ReadIndex(request, reply) => self.start_read_index(request, reply),
             ReplicaInput::Relayed(index) => self.take_read_index(index),
             ReplicaInput::ServersSeen(servers) => {
                 self.server_watch.observe(servers, Instant::now());
@@ -251,7 +249,7 @@
         let reason = "the disk of this replica refuses writes".to_owned();
         match input {
             ReplicaInput::Tick(_) | ReplicaInput::Message(_) | ReplicaInput::ServersSeen(_) => {}
-            ReplicaInput::ReadIndex(_, _, reply) => answer(reply, None),
+            ReplicaInput::ReadIndex(_, reply) => answer(reply, None),
             ReplicaInput::Relayed(_) => self.take_read_index(None),
             ReplicaInput::Submit(_, reply) | ReplicaInput::ChangeMembership(_, reply) => {
                 self.settings.counters.count("refused-disk");
--- a/crates/replica/src/driver/relays.rs
+++ b/crates/replica/src/driver/relays.rs
@@ -14,7 +14,7 @@
     time::{Duration, Instant},
 };
 use tokio::sync::{mpsc, oneshot};
-use types::{EntryName, HostName, ViewVersion};
+use types::{EntryName, ViewVersion};
 
 /// Time allowed to the leader for a read index. Entries give a follower less before they ask the
 /// leader themselves.
@@ -147,14 +147,12 @@
     /// may not speak for entries, and replicas that were removed lag behind for good.
     pub(super) fn start_read_index(
         &mut self,
-        host: &HostName,
         request: ReadIndexRequest,
         reply: oneshot::Sender<Option<LogIndex>>,
     ) {
         let token = ReadToken(self.next_token);
         self.next_token += 1;
-        let mut members = self.core.membership().members().iter();
-        if !members.any(|member| member.host == *host) {
+        if self.core.membership().get(request.replica).is_none() {
             self.settings.counters.count("read-index-refused");
             return answer(reply, None);
         }
@@ -190,6 +188,6 @@
                 entries.push((entry.name.clone(), pending.request.version));
             }
         }
-        ReadIndexRequest { entries, changed }
+        ReadIndexRequest { replica: self.settings.identity, entries, changed }
     }
 }
--- a/crates/replica/src/handle.rs
+++ b/crates/replica/src/handle.rs
@@ -92,8 +92,7 @@
                 Some(PeerAnswer::Freshness(Box::new(self.freshness(request).await)))
             }
             PeerRequest::ReadIndex(request) => {
-                let host = host.clone();
-                let index = self.ask(|reply| ReplicaInput::ReadIndex(host, request, reply)).await;
+                let index = self.ask(|reply| ReplicaInput::ReadIndex(request, reply)).await;
                 Some(PeerAnswer::ReadIndex(index.unwrap_or(None)))
             }
             PeerRequest::Submit(command) => {
