--- a/examples/quickstart.sh
+++ b/examples/quickstart.sh
@@ -70,7 +70,7 @@
     echo "caller_address = \"$(caller $n)\""
     echo "server_address = \"$(server $n)\""
     echo "operator_address = \"$(operator $n)\""
-    echo 'guide_max_age_s = 1'
+    echo 'directory_max_age_s = 1'
     for m in 1 2 3; do
       printf '\n[[replicas]]\nhost = "host-%s"\naddress = "%s"\n' "$m" "$(peer $m)"
     done
