Fake servers replace their count files whole

Cause: the quick start failed in about half of its runs, with 'the drained domain got new work' or 'the booking ran twice'. The time line shows no call to the drained server after the drain and one run of the booking. The fake server truncates and writes its count file every 50 ms; the script read it empty in between (BEFORE was empty in a run that printed it) and took the next count for new work. The file is replaced by a rename.

--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -11,6 +11,7 @@
 mod process_group;
 mod selectors;
 mod system;
+mod whole_file;
 
 pub use announcer::announce;
 pub use behaviour::{FakeBehaviour, FakeMode, FakeStats, LoadReport};
@@ -22,3 +23,4 @@
 pub use process_group::{GroupSettings, ProcessGroup, free_addresses};
 pub use selectors::{InFlightSelector, RandomSelector};
 pub use system::{System, document, new_key, outcome, pause, runs, wait_until};
+pub use whole_file::write_whole;
--- a/examples/quickstart.sh
+++ b/examples/quickstart.sh
@@ -114,14 +114,14 @@
 start_server najem-1 najem ljubljana
 start_server najem-2 najem kranj
 
-say 'asking the guide, then looking stock up at the entry that it names'
+say 'asking the directory, then looking stock up at the entry that it names'
 entry_for() {
   curl -sf "http://$(caller 1)/v1/entries/$1" |
     python3 -c 'import json, sys; print(json.load(sys.stdin)["entries"][0]["address"])'
 }
 retry 10 entry_for zaloga
 ENTRY=$(entry_for zaloga)
-echo "guide names $ENTRY"
+echo "the directory names $ENTRY"
 lookup() { curl -sf "http://$ENTRY/v1/call/zaloga/stock?cylinder=argon"; }
 retry 20 lookup
 cat "$WORK/retry.out"
