--- a/platform/stand-in/src/promises.rs
+++ b/crates/daemon/tests/history/mod.rs
@@ -1,6 +1,6 @@
 //! What callers, servers and the operator may never see.
 
-use crate::{CallEnd, CallKind};
+use stand_in::{CallEnd, CallKind};
 use std::{
     collections::HashMap,
     time::{Duration, Instant},
--- a/platform/stand-in/tests/promises.rs
+++ b/crates/daemon/tests/promises.rs
@@ -1,6 +1,9 @@
 //! Each check of the soak fails when its promise is broken: histories with one planted fault.
 
-use hawthornhill_stand_in::{CallEnd, CallKind, CallRecord, Departure, SeenHistory, broken_read};
+mod history;
+
+use history::{CallRecord, Departure, SeenHistory, broken_read};
+use stand_in::{CallEnd, CallKind};
 use std::time::{Duration, Instant};
 
 const DRAIN_BOUND: Duration = Duration::from_secs(2);
--- a/crates/follow/src/keeper.rs
+++ b/crates/follow/src/keeper.rs
@@ -3,11 +3,12 @@
 //! The time at which a request was sent, not that of its answer, is what the view is fresh as of:
 //! the leader answers only after a quorum round that began after the request arrived.
 
-use crate::{LeaderAnswer, LeaderFinder, NearReplicas};
-use futures_util::future::{Either, select};
-use peer::{
-    FreshnessAnswer, FreshnessGrant, FreshnessRequest, PeerAnswer, PeerRequest, PeerTarget,
+use crate::{
+    LeaderFinder, NearReplicas,
+    grants::{granted, is_granted},
 };
+use futures_util::future::{Either, select};
+use peer::{FreshnessGrant, FreshnessRequest, PeerRequest, PeerTarget};
 use runtime::{DecisionCounters, EventKind, EventTags, EventTimeline, Logger, TimerService};
 use slog::{info, warn};
 use std::{
@@ -219,25 +220,3 @@
 fn first_view_pause(last_took: Duration) -> Duration {
     (last_took * FIRST_VIEW_BACKOFF).clamp(FIRST_VIEW_PERIOD, MAX_FIRST_VIEW_PERIOD)
 }
-
-/// Returns what a replica granted.
-fn granted(answer: Option<PeerAnswer>) -> Option<FreshnessGrant> {
-    match answer {
-        Some(PeerAnswer::Freshness(answer)) => match *answer {
-            FreshnessAnswer::Granted(grant) => Some(grant),
-            FreshnessAnswer::NotLeader(_) => None,
-        },
-        _ => None,
-    }
-}
-
-/// Says whether the answer to a freshness request comes from the leader.
-pub(crate) fn is_granted(answer: &PeerAnswer) -> LeaderAnswer {
-    match answer {
-        PeerAnswer::Freshness(answer) => match answer.as_ref() {
-            FreshnessAnswer::Granted(_) => LeaderAnswer::Here,
-            FreshnessAnswer::NotLeader(hint) => LeaderAnswer::Elsewhere(hint.clone()),
-        },
-        _ => LeaderAnswer::Elsewhere(None),
-    }
-}
--- a/crates/follow/src/leader.rs
+++ b/crates/follow/src/leader.rs
@@ -1,6 +1,6 @@
 //! Finds the leader of the replicas and follows it as it changes.
 
-use crate::keeper::is_granted;
+use crate::grants::{LeaderAnswer, granted, is_granted};
 use consensus::MembershipChange;
 use futures_util::{
     StreamExt,
@@ -9,8 +9,8 @@
 };
 use parking_lot::Mutex;
 use peer::{
-    FreshnessAnswer, FreshnessRequest, PeerAnswer, PeerError, PeerLink, PeerRequest, PeerTarget,
-    SubmitAnswer, replicas_digest,
+    FreshnessRequest, PeerAnswer, PeerError, PeerLink, PeerRequest, PeerTarget, SubmitAnswer,
+    replicas_digest,
 };
 use runtime::ReplicaAddress;
 use std::{
@@ -198,46 +198,30 @@
 
     /// Reads the whole view as of now. Returns `None` if no leader confirms it in time.
     pub async fn read_view(&self, timeout: Duration) -> Option<ClusterView> {
-        let version = ViewVersion(u64::MAX);
-        let request = PeerRequest::Freshness(FreshnessRequest {
-            entry: None,
-            version,
-            known_replicas: 0,
-            may_relay: false,
-        });
-        let PeerAnswer::Freshness(answer) = self.ask(&request, timeout, is_granted).await? else {
-            return None;
-        };
-        match *answer {
-            FreshnessAnswer::Granted(grant) => match grant.update.unpack() {
-                Ok(ViewUpdate::Whole(view)) => Some(*view),
-                Ok(ViewUpdate::Changes(_)) | Err(_) => None,
-            },
-            FreshnessAnswer::NotLeader(_) => None,
+        // No view has this version, so that the whole one is sent.
+        match self.read_update(ViewVersion(u64::MAX), timeout).await? {
+            ViewUpdate::Whole(view) => Some(*view),
+            ViewUpdate::Changes(_) => None,
         }
     }
 
     /// Brings a copy of `base` up to the view as of now. Returns `None` if no leader confirms it in
     /// time.
     pub async fn read_since(&self, base: &ClusterView, timeout: Duration) -> Option<ClusterView> {
-        let version = base.version;
-        let request = PeerRequest::Freshness(FreshnessRequest {
-            entry: None,
-            version,
-            known_replicas: 0,
-            may_relay: false,
-        });
-        let PeerAnswer::Freshness(answer) = self.ask(&request, timeout, is_granted).await? else {
-            return None;
-        };
-        let FreshnessAnswer::Granted(grant) = *answer else {
-            return None;
-        };
+        let update = self.read_update(base.version, timeout).await?;
         let mut view = base.clone();
-        view.update(grant.update.unpack().ok()?);
+        view.update(update);
         Some(view)
     }
 
+    async fn read_update(&self, version: ViewVersion, timeout: Duration) -> Option<ViewUpdate> {
+        let (entry, known_replicas, may_relay) = (None, 0, false);
+        let request = FreshnessRequest { entry, version, known_replicas, may_relay };
+        let request = PeerRequest::Freshness(request);
+        let answer = granted(self.ask(&request, timeout, is_granted).await)?;
+        answer.update.unpack().ok()
+    }
+
     /// Submits a command until its fate is known or the deadline passes. The command must be one
     /// that may be decided twice without harm.
     pub async fn submit(&self, command: Command, deadline: Instant) -> SubmitResult {
@@ -329,12 +313,3 @@
         }
     }
 }
-
-/// Whether an answer comes from the leader.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum LeaderAnswer {
-    /// It does.
-    Here,
-    /// It does not; the leader may be at this address.
-    Elsewhere(Option<ReplicaAddress>),
-}
--- a/crates/types/src/state.rs
+++ b/crates/types/src/state.rs
@@ -2,16 +2,18 @@
 //!
 //! Applying is deterministic. Time enters only through the log, so that all replicas forget alike.
 
+mod claims;
+mod servers;
+
 use crate::{
-    Announcement, AttemptId, CLAIM_FORGET_AFTER_MS, CLAIM_RETENTION_MS, CLOCK_SKEW_LIMIT_MS,
-    ChangeAction, ChangeAnswer, ChangeDigest, ChangeId, ChangeRequest, ClaimAnswer, ClaimKey,
-    ClaimRelease, ClaimRequest, ClaimResult, ClusterView, DocumentVersion, DomainName,
+    Announcement, ChangeAction, ChangeAnswer, ChangeDigest, ChangeId, ChangeRequest, ClaimAnswer,
+    ClaimKey, ClaimRelease, ClaimRequest, ClaimResult, ClusterView, DocumentVersion, DomainName,
     EntryIncarnation, EntryInfo, EntryName, LogTime, RefusalKind, RoutingDocument, RoutingVersion,
-    ServerIncarnation, ServerName, ServerState, TeamDocument, VIEW_LOG_LIMIT, ViewChange,
-    ViewError, ViewUpdate, ViewVersion,
+    ServerIncarnation, ServerName, TeamDocument, VIEW_LOG_LIMIT, ViewChange, ViewError, ViewUpdate,
+    ViewVersion,
 };
+use claims::{ClaimRecord, ClaimStage};
 use serde::{Deserialize, Serialize};
-use smallvec::SmallVec;
 use std::{
     collections::{BTreeMap, BTreeSet, VecDeque},
     sync::Arc,
@@ -20,9 +22,6 @@
 
 /// How many decided changes are remembered for resends.
 const CHANGE_MEMORY: usize = 20_000;
-/// How many servers that left are remembered, so that a delayed announcement does not register
-/// them again.
-const DEPARTURE_MEMORY: usize = 20_000;
 
 /// A command in the replicated log.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -108,20 +107,6 @@
     Expiry(ClaimKey),
 }
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-enum ClaimStage {
-    Free,
-    Held(AttemptId),
-    Ran(AttemptId, u16),
-}
-
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-struct ClaimRecord {
-    digest: u32,
-    stage: ClaimStage,
-    released: SmallVec<[AttemptId; 1]>,
-}
-
 /// All replicated state.
 ///
 /// Invariants: those of [`ClusterView`]; a released attempt never holds a claim; every claim stands
@@ -289,70 +274,6 @@
         }
     }
 
-    fn decide_claim(&mut self, claim: &ClaimRequest) -> ClaimAnswer {
-        let Some(key_time) = claim.key.time_ms() else {
-            return ClaimAnswer::BadKey;
-        };
-        if key_time > self.time.0 + CLOCK_SKEW_LIMIT_MS {
-            return ClaimAnswer::TooNew;
-        }
-        if let Some(record) = self.claims.get_mut(&claim.key) {
-            return record.decide(claim);
-        }
-        if key_time + CLAIM_RETENTION_MS < self.time.0 {
-            return ClaimAnswer::TooOld;
-        }
-        let record = ClaimRecord {
-            digest: claim.digest,
-            stage: ClaimStage::Held(claim.attempt),
-            released: SmallVec::new(),
-        };
-        self.insert_claim(key_time, claim.key.clone(), record);
-        ClaimAnswer::Granted
-    }
-
-    fn release_claim(&mut self, release: &ClaimRelease) -> CommandAnswer {
-        if let Some(record) = self.claims.get_mut(&release.key) {
-            record.release(release.attempt);
-        } else if let Some(key_time) = release.key.time_ms()
-            && key_time + CLAIM_RETENTION_MS >= self.time.0
-        {
-            // The claim may still be on its way, so the release is remembered in its place.
-            let record = ClaimRecord {
-                digest: 0,
-                stage: ClaimStage::Free,
-                released: SmallVec::from_elem(release.attempt, 1),
-            };
-            self.insert_claim(key_time, release.key.clone(), record);
-        }
-        CommandAnswer::Done
-    }
-
-    fn finish_claim(&mut self, result: &ClaimResult) -> CommandAnswer {
-        if let Some(record) = self.claims.get_mut(&result.key)
-            && record.stage == ClaimStage::Held(result.attempt)
-        {
-            record.stage = ClaimStage::Ran(result.attempt, result.status);
-        }
-        CommandAnswer::Done
-    }
-
-    fn insert_claim(&mut self, key_time: u64, key: ClaimKey, record: ClaimRecord) {
-        self.expiry.insert((key_time, key.clone()));
-        self.claims.insert(key, record);
-    }
-
-    fn forget_claims(&mut self) {
-        while let Some((key_time, _)) = self.expiry.first() {
-            if key_time + CLAIM_FORGET_AFTER_MS >= self.time.0 {
-                return;
-            }
-            if let Some((_, key)) = self.expiry.pop_first() {
-                self.claims.remove(&key);
-            }
-        }
-    }
-
     fn put_routing(
         &mut self,
         document: &Arc<RoutingDocument>,
@@ -389,55 +310,6 @@
         CommandAnswer::Done
     }
 
-    fn announce(&mut self, server: &Arc<Announcement>) -> AnnounceDecision {
-        let name = &server.server;
-        if self.departed.get(name).is_some_and(|gone| *gone >= server.incarnation) {
-            return AnnounceDecision::Stale;
-        }
-        if let Some(held) = self.view.server(name)
-            && let Some(decision) = decide_known(held, server)
-        {
-            return decision;
-        }
-        let at_address = self.view.servers().find(|held| held.address == server.address);
-        if let Some(held) = at_address.filter(|held| held.server != *name) {
-            if held.incarnation >= server.incarnation {
-                return AnnounceDecision::Stale;
-            }
-            let (former, incarnation) = (held.server.clone(), held.incarnation);
-            self.remove_server(&former, incarnation);
-        }
-        self.change_view(ViewChange::PutServer(server.clone()));
-        AnnounceDecision::Registered
-    }
-
-    fn depart(&mut self, server: &ServerName) -> CommandAnswer {
-        if let Some(held) = self.view.server(server) {
-            let incarnation = held.incarnation;
-            self.remove_server(server, incarnation);
-        }
-        CommandAnswer::Done
-    }
-
-    fn expire(&mut self, server: &ServerName, incarnation: ServerIncarnation) -> CommandAnswer {
-        if self.view.holds_server(server, incarnation) {
-            self.change_view(ViewChange::RemoveServer(server.clone()));
-        }
-        CommandAnswer::Done
-    }
-
-    fn remove_server(&mut self, server: &ServerName, incarnation: ServerIncarnation) {
-        self.change_view(ViewChange::RemoveServer(server.clone()));
-        if self.departed.insert(server.clone(), incarnation).is_none() {
-            self.departed_order.push_back(server.clone());
-        }
-        if self.departed_order.len() > DEPARTURE_MEMORY
-            && let Some(oldest) = self.departed_order.pop_front()
-        {
-            self.departed.remove(&oldest);
-        }
-    }
-
     fn put_entry(&mut self, info: &EntryInfo) -> CommandAnswer {
         let known = self.view.entry(&info.name);
         if known != Some(info) {
@@ -461,53 +333,3 @@
         CommandAnswer::Done
     }
 }
-
-/// Decides an announcement of a server that is registered. Returns `None` if it replaces what the
-/// registry holds.
-fn decide_known(held: &Announcement, server: &Announcement) -> Option<AnnounceDecision> {
-    if server.incarnation != held.incarnation {
-        let is_older = server.incarnation < held.incarnation;
-        return is_older.then_some(AnnounceDecision::Stale);
-    }
-    let is_same = held.service == server.service
-        && held.address == server.address
-        && held.domain == server.domain;
-    if !is_same {
-        return Some(AnnounceDecision::Contradicts);
-    }
-    // A server that has begun to leave stays leaving until it starts again.
-    if held.state == server.state || held.state == ServerState::Leaving {
-        return Some(AnnounceDecision::Registered);
-    }
-    (server.sequence <= held.sequence).then_some(AnnounceDecision::Stale)
-}
-
-impl ClaimRecord {
-    fn decide(&mut self, claim: &ClaimRequest) -> ClaimAnswer {
-        if self.released.contains(&claim.attempt) {
-            return ClaimAnswer::Released;
-        }
-        if self.stage == ClaimStage::Free {
-            self.digest = claim.digest;
-            self.stage = ClaimStage::Held(claim.attempt);
-            return ClaimAnswer::Granted;
-        }
-        if self.digest != claim.digest {
-            return ClaimAnswer::OtherRequest;
-        }
-        match self.stage {
-            ClaimStage::Held(attempt) if attempt == claim.attempt => ClaimAnswer::Granted,
-            ClaimStage::Ran(_, status) => ClaimAnswer::Ran { status },
-            ClaimStage::Held(_) | ClaimStage::Free => ClaimAnswer::Held,
-        }
-    }
-
-    fn release(&mut self, attempt: AttemptId) {
-        if !self.released.contains(&attempt) {
-            self.released.push(attempt);
-        }
-        if self.stage == ClaimStage::Held(attempt) {
-            self.stage = ClaimStage::Free;
-        }
-    }
-}
--- /dev/null
+++ b/crates/types/tests/routing.rs
@@ -0,0 +1,203 @@
+//! Routing documents and the registry of servers.
+
+use hawthornhill_types::{
+    AnnounceDecision, Announcement, CallerLimits, ClusterState, ClusterView, Command,
+    CommandAnswer, LogTime, PoolSpec, RoutePart, RouteSpec, RouteTable, RoutingDecision,
+    RoutingDocument, RoutingError, RoutingVersion, ServerIncarnation, ServerState, ViewUpdate,
+};
+use std::sync::Arc;
+
+fn route(name: &str, prefix: &str, service: &str) -> RouteSpec {
+    RouteSpec {
+        name: name.into(),
+        host: "shop.example".into(),
+        prefix: prefix.into(),
+        is_idempotent: true,
+        timeout_ms: 1_000,
+        target_ms: 300,
+        priority: 1,
+        max_attempts: 2,
+        parts: [RoutePart { service: service.parse().expect("name"), weight: 1 }]
+            .into_iter()
+            .collect(),
+    }
+}
+
+fn document(version: u64, routes: Vec<RouteSpec>) -> RoutingDocument {
+    let pool = |service: &str| PoolSpec {
+        service: service.parse().expect("name"),
+        health_path: "/health".into(),
+        max_connections: 10,
+        warm_up_ms: 3_000,
+        warm_up_rate_milli: 5_000,
+    };
+    RoutingDocument {
+        version: RoutingVersion(version),
+        routes: routes.into_iter().map(Arc::new).collect(),
+        pools: vec![pool("desk"), pool("archive")],
+        limits: CallerLimits::default(),
+    }
+}
+
+fn put(state: &mut ClusterState, document: &RoutingDocument, text: &str) -> RoutingDecision {
+    let command = Command::PutRouting(Arc::new(document.clone()), text.into());
+    match state.apply(LogTime(1), &command) {
+        CommandAnswer::Routing(decision) => decision,
+        other => panic!("{other:?}"),
+    }
+}
+
+fn announcement(server: &str, incarnation: u64, sequence: u64) -> Announcement {
+    Announcement {
+        server: server.parse().expect("name"),
+        service: "desk".parse().expect("name"),
+        address: ([10, 0, 0, 1], 8_080).into(),
+        domain: "north".parse().expect("name"),
+        slots: 2,
+        incarnation: ServerIncarnation(incarnation),
+        sequence,
+        state: ServerState::Ready,
+    }
+}
+
+fn announce(state: &mut ClusterState, announcement: &Announcement) -> AnnounceDecision {
+    let command = Command::Announce(Arc::new(announcement.clone()));
+    match state.apply(LogTime(1), &command) {
+        CommandAnswer::Announce(decision) => decision,
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn highest_version_is_in_force_in_any_order_of_arrival() {
+    let mut state = ClusterState::default();
+    let newer = document(7, vec![route("a", "/a/", "desk")]);
+    let older = document(4, vec![route("a", "/a/", "archive")]);
+    assert_eq!(put(&mut state, &newer, "newer"), RoutingDecision::InForce);
+    let superseded = RoutingDecision::Superseded(RoutingVersion(7));
+    assert_eq!(put(&mut state, &older, "older"), superseded);
+    assert_eq!(put(&mut state, &newer, "newer"), RoutingDecision::InForce);
+    let other = document(7, vec![route("a", "/a/", "archive")]);
+    assert_eq!(put(&mut state, &other, "other"), RoutingDecision::OtherContent);
+    assert_eq!(state.view().routing().map(|held| held.as_ref()), Some(&newer));
+    assert_eq!(&**state.routing_source(), "newer");
+}
+
+/// An entry that follows patches holds the same routes as one that is sent all.
+#[test]
+fn patches_lead_to_the_same_routes_as_the_whole_document() {
+    let mut state = ClusterState::default();
+    let versions = [
+        document(1, vec![route("a", "/a/", "desk"), route("b", "/b/", "desk")]),
+        document(3, vec![route("a", "/a/", "archive"), route("b", "/b/", "desk")]),
+        document(4, vec![route("b", "/b/", "desk"), route("c", "/b/c/", "archive")]),
+        document(9, vec![route("d", "/b/c/", "desk")]),
+    ];
+    let mut follower = ClusterView::default();
+    for document in &versions {
+        put(&mut state, document, "text");
+        let update = state.update_since(follower.version);
+        if document.version > RoutingVersion(1) {
+            assert!(matches!(&update, ViewUpdate::Changes(changes) if changes.len() == 1));
+        }
+        follower.update(update);
+        let sorted = |document: &RoutingDocument| {
+            let mut routes = document.routes.clone();
+            routes.sort_by_key(|route| route.place());
+            routes
+        };
+        let held = follower.routing().expect("a document");
+        assert_eq!(sorted(held), sorted(document));
+        assert_eq!(held.version, document.version);
+    }
+}
+
+#[test]
+fn longest_prefix_of_the_host_is_chosen() {
+    let routes = vec![route("short", "/b/", "desk"), route("long", "/b/c/", "archive")];
+    let table = RouteTable::new(&document(1, routes));
+    let name = |host: &str, path: &str| table.find(host, path).map(|r| r.name.to_string());
+    assert_eq!(name("shop.example", "/b/c/d").as_deref(), Some("long"));
+    assert_eq!(name("shop.example", "/b/cd").as_deref(), Some("short"));
+    assert_eq!(name("shop.example", "/x/"), None);
+    assert_eq!(name("other.example", "/b/"), None);
+}
+
+#[test]
+fn invalid_documents_are_refused_with_the_route_named() {
+    let change = |edit: fn(&mut RouteSpec)| {
+        let mut route = route("a", "/a/", "desk");
+        edit(&mut route);
+        document(1, vec![route]).verify()
+    };
+    let name = || Arc::from("a");
+    assert_eq!(change(|_| ()), Ok(()));
+    assert_eq!(change(|r| r.parts[0].weight = 0), Err(RoutingError::NoWeight(name())));
+    assert_eq!(change(|r| r.parts.clear()), Err(RoutingError::NoWeight(name())));
+    assert_eq!(change(|r| r.max_attempts = 0), Err(RoutingError::NoAttempts(name())));
+    assert_eq!(change(|r| r.prefix = "a/".into()), Err(RoutingError::BarePrefix(name())));
+    assert_eq!(change(|r| r.timeout_ms = 0), Err(RoutingError::NoTimeout(name())));
+    let unknown = document(1, vec![route("a", "/a/", "nobody")]).verify();
+    assert!(matches!(unknown, Err(RoutingError::UnknownService { .. })));
+    let twice = document(1, vec![route("a", "/a/", "desk"), route("b", "/a/", "desk")]);
+    assert!(matches!(twice.verify(), Err(RoutingError::SamePlace { .. })));
+}
+
+#[test]
+fn weights_share_the_requests() {
+    let mut split = route("a", "/a/", "desk");
+    split.parts[0].weight = 90;
+    split.parts.push(RoutePart { service: "archive".parse().expect("name"), weight: 10 });
+    let archive = (0..1_000)
+        .filter(|n| split.part_for(f64::from(*n) / 1_000.0).map(|s| s.as_str()) == Some("archive"));
+    assert_eq!(archive.count(), 100);
+}
+
+#[test]
+fn late_announcement_of_a_former_start_changes_nothing() {
+    let mut state = ClusterState::default();
+    assert_eq!(announce(&mut state, &announcement("s1", 5, 9)), AnnounceDecision::Registered);
+    assert_eq!(announce(&mut state, &announcement("s1", 4, 99)), AnnounceDecision::Stale);
+    // Another server at the address is a later process there; the former one is gone.
+    assert_eq!(announce(&mut state, &announcement("s2", 6, 1)), AnnounceDecision::Registered);
+    assert_eq!(announce(&mut state, &announcement("s1", 5, 10)), AnnounceDecision::Stale);
+    let names: Vec<_> = state.view().servers().map(|s| s.server.to_string()).collect();
+    assert_eq!(names, ["s2"]);
+}
+
+#[test]
+fn leaving_server_stays_leaving_and_a_gone_one_gone_until_it_starts_again() {
+    let mut state = ClusterState::default();
+    announce(&mut state, &announcement("s1", 5, 1));
+    let leaving = Announcement { state: ServerState::Leaving, ..announcement("s1", 5, 3) };
+    assert_eq!(announce(&mut state, &leaving), AnnounceDecision::Registered);
+    announce(&mut state, &announcement("s1", 5, 4));
+    let name = "s1".parse().expect("name");
+    assert_eq!(state.view().server(&name).map(|s| s.state), Some(ServerState::Leaving));
+    state.apply(LogTime(1), &Command::Depart("s1".parse().expect("name")));
+    assert_eq!(announce(&mut state, &announcement("s1", 5, 5)), AnnounceDecision::Stale);
+    assert_eq!(announce(&mut state, &announcement("s1", 6, 1)), AnnounceDecision::Registered);
+}
+
+#[test]
+fn forged_announcement_does_not_move_a_server() {
+    let mut state = ClusterState::default();
+    announce(&mut state, &announcement("s1", 5, 1));
+    let forged =
+        Announcement { address: ([10, 0, 0, 9], 8_080).into(), ..announcement("s1", 5, 7) };
+    assert_eq!(announce(&mut state, &forged), AnnounceDecision::Contradicts);
+    let name = "s1".parse().expect("name");
+    let held = state.view().server(&name).map(|server| server.address);
+    assert_eq!(held, Some(([10, 0, 0, 1], 8_080).into()));
+}
+
+#[test]
+fn repeated_drain_changes_nothing_and_the_last_order_decides() {
+    let mut state = ClusterState::default();
+    let domain = "north".parse().expect("name");
+    for is_drained in [true, true, false, false, true] {
+        state.apply(LogTime(1), &Command::SetDrain("north".parse().expect("name"), is_drained));
+        assert_eq!(state.view().is_drained(&domain), is_drained);
+    }
+    assert_eq!(state.view().drain_version(&domain).0, 3);
+}
