consensus: bound what a leader sends to followers that answer late

Counters of frames by kind (trial on a scratch copy) show a leader that sends 8 to 11 MB of appends a second for about 100 KB of new entries: every heartbeat resumed after the last acknowledged entry and so repeated all that were on their way, to each of 18 followers, 20 times a second. The slower the followers, the more was repeated; batches of the leader took 0.7 s and its heartbeats came too late.

Change: replication progress has states (probe, replicate, install). Heartbeats carry no entries; a follower that lacks entries rejects the heartbeat and states from where to continue. At most two messages with entries are unacknowledged per follower, each of at most 256 KiB; later entries share the next one. Rejections name the entry they reject, so that late ones are recognised. Quorum rounds of reads go to voters only. Protocol version 2.

--- a/crates/consensus/src/core.rs
+++ b/crates/consensus/src/core.rs
@@ -1,8 +1,8 @@
 //! The state of a replica, and the message handling that all roles share.
 
 use crate::{
-    Effects, Envelope, HardState, LogEntry, LogIndex, LogPayload, Membership, Message, ReplicaId,
-    RestoredState, SnapshotImage, Term, log::MemoryLog, role::RoleState,
+    AppendResult, Effects, Envelope, HardState, LogEntry, LogIndex, LogPayload, Membership,
+    Message, ReplicaId, RestoredState, SnapshotImage, Term, log::MemoryLog, role::RoleState,
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use thiserror::Error;
@@ -33,6 +33,9 @@
     pub post_vote_ticks: u32,
     /// Maximum number of entries in one message.
     pub max_batch_entries: usize,
+    /// Approximate maximum size in bytes of the entries in one message. A message may always hold
+    /// one entry.
+    pub max_batch_bytes: usize,
     /// Seed of the random part of election timeouts.
     pub seed: u64,
 }
@@ -45,6 +48,7 @@
             startup_election_ticks: 1,
             post_vote_ticks: 3,
             max_batch_entries: 2048,
+            max_batch_bytes: 256 * 1024,
             seed: 0,
         }
     }
@@ -285,8 +289,8 @@
                 self.accept_leader(from);
                 self.handle_install(from, image, round);
             }
-            Message::AppendAnswer { index, accepted, round } => {
-                self.handle_append_answer(from, index, accepted, round);
+            Message::AppendAnswer { result, round } => {
+                self.handle_append_answer(from, result, round);
             }
             Message::TimeoutNow => self.start_transfer_election(),
         }
@@ -413,8 +417,10 @@
     fn handle_stale_message(&mut self, envelope: &Envelope) {
         match envelope.message {
             Message::Append { round, .. } | Message::Install { round, .. } => {
-                let index = self.log.last_index();
-                self.send(envelope.from, Message::AppendAnswer { index, accepted: false, round });
+                // Only the term of this answer matters to its receiver.
+                let (prev_index, hint) = (self.log.last_index(), self.log.last_index());
+                let result = AppendResult::Rejected { prev_index, hint };
+                self.send(envelope.from, Message::AppendAnswer { result, round });
             }
             Message::PreVote { .. } => {
                 self.send(envelope.from, Message::PreVoteAnswer { granted: false });
@@ -439,7 +445,10 @@
         commit: LogIndex,
         round: u64,
     ) {
-        let reject = |index| Message::AppendAnswer { index, accepted: false, round };
+        let reject = |hint| {
+            let result = AppendResult::Rejected { prev_index, hint };
+            Message::AppendAnswer { result, round }
+        };
         if prev_index > self.log.last_index() {
             return self.send(from, reject(self.log.last_index()));
         }
@@ -459,7 +468,8 @@
             self.push_entry(entry);
         }
         self.commit = self.commit.max(commit.min(matched));
-        self.send(from, Message::AppendAnswer { index: matched, accepted: true, round });
+        let result = AppendResult::Matched(matched);
+        self.send(from, Message::AppendAnswer { result, round });
     }
 
     fn truncate_conflict(&mut self, first: LogIndex) {
@@ -484,7 +494,7 @@
             self.effects.install = Some(image.clone());
             self.image = Some(image);
         }
-        let index = self.commit;
-        self.send(from, Message::AppendAnswer { index, accepted: true, round });
+        let result = AppendResult::Matched(self.commit);
+        self.send(from, Message::AppendAnswer { result, round });
     }
 }
--- a/crates/consensus/src/election.rs
+++ b/crates/consensus/src/election.rs
@@ -130,7 +130,7 @@
         (last_term, last_index) >= (self.log.last_term(), self.log.last_index())
     }
 
-    fn other_voters(&self) -> SmallVec<[ReplicaId; 5]> {
+    pub(crate) fn other_voters(&self) -> SmallVec<[ReplicaId; 5]> {
         self.membership().voters().filter(|id| *id != self.id).collect()
     }
 }
--- a/crates/consensus/src/leader.rs
+++ b/crates/consensus/src/leader.rs
@@ -2,9 +2,10 @@
 //! leadership transfer.
 
 use crate::{
-    Consensus, ConsensusError, LogIndex, LogPayload, MemberRole, MembershipChange, MembershipError,
-    Message, ReadToken, ReadyRead, ReplicaId,
-    role::{FollowerProgress, LeaderState, PendingRead, RoleState},
+    AppendResult, Consensus, ConsensusError, Envelope, LogEntry, LogIndex, LogPayload, MemberRole,
+    MembershipChange, MembershipError, Message, ReadToken, ReadyRead, ReplicaId,
+    progress::FollowerProgress,
+    role::{LeaderState, PendingRead, RoleState},
 };
 use smallvec::SmallVec;
 use std::collections::{BTreeMap, VecDeque};
@@ -21,9 +22,6 @@
     pub is_active: bool,
 }
 
-/// Number of ticks after which an unanswered snapshot is sent again.
-const INSTALL_RETRY_TICKS: u32 = 40;
-
 impl Consensus {
     /// Appends a command to the log. Fails unless this replica leads.
     pub fn propose(&mut self, time: LogTime, command: Command) -> Result<LogIndex, ConsensusError> {
@@ -34,7 +32,7 @@
     /// Sends new entries to the followers. Called once per batch of proposals.
     pub fn replicate(&mut self) {
         for id in self.followers() {
-            self.send_entries(id, false);
+            self.send_entries(id);
         }
     }
 
@@ -49,8 +47,8 @@
         Ok(())
     }
 
-    /// Starts a quorum round for all reads queued since the last one, with a heartbeat to all
-    /// followers.
+    /// Starts a quorum round for all reads queued since the last one, with a heartbeat to all other
+    /// voters.
     pub fn start_read_round(&mut self) {
         let RoleState::Leader(leader_state) = &mut self.role else {
             return;
@@ -59,7 +57,9 @@
             return;
         }
         leader_state.round += 1;
-        self.send_heartbeats();
+        for id in self.other_voters() {
+            self.send_heartbeat(id);
+        }
         self.complete_reads();
     }
 
@@ -150,9 +150,7 @@
         };
         leader_state.ticks_since_heartbeat += 1;
         leader_state.ticks_since_check += 1;
-        for progress in leader_state.progress.values_mut() {
-            progress.install_retry_ticks = progress.install_retry_ticks.saturating_sub(1);
-        }
+        leader_state.progress.values_mut().for_each(FollowerProgress::tick);
         let is_heartbeat_due = leader_state.ticks_since_heartbeat >= heartbeat_ticks;
         if leader_state.ticks_since_check >= election_ticks && !self.check_quorum() {
             self.become_follower(self.term(), None);
@@ -166,8 +164,7 @@
     pub(crate) fn handle_append_answer(
         &mut self,
         from: ReplicaId,
-        index: LogIndex,
-        accepted: bool,
+        result: AppendResult,
         round: u64,
     ) {
         let last_index = self.log.last_index();
@@ -177,21 +174,18 @@
         let Some(progress) = leader_state.progress.get_mut(&from) else {
             return;
         };
-        progress.is_active = true;
-        progress.acked_round = progress.acked_round.max(round);
-        if accepted {
-            progress.install_retry_ticks = 0;
-            progress.matched = progress.matched.max(index.min(last_index));
-            progress.next = progress.next.max(progress.matched.next());
-        } else {
-            progress.next = index.min(last_index).next().max(progress.matched.next());
-        }
-        let is_behind = progress.next <= last_index;
-        if accepted {
-            self.advance_commit();
-        }
-        if is_behind {
-            self.send_entries(from, false);
+        progress.record_answer(round);
+        match result {
+            AppendResult::Matched(index) => {
+                progress.record_match(index.min(last_index));
+                self.advance_commit();
+                self.send_entries(from);
+            }
+            AppendResult::Rejected { prev_index, hint } => {
+                if progress.record_rejection(prev_index, hint) {
+                    self.send_heartbeat(from);
+                }
+            }
         }
         self.complete_reads();
     }
@@ -246,13 +240,7 @@
         if let RoleState::Leader(leader_state) = &mut self.role {
             leader_state.progress.retain(|id, _| ids.contains(id));
             for id in ids {
-                leader_state.progress.entry(id).or_insert(FollowerProgress {
-                    next,
-                    matched: LogIndex(0),
-                    acked_round: 0,
-                    is_active: true,
-                    install_retry_ticks: 0,
-                });
+                leader_state.progress.entry(id).or_insert_with(|| FollowerProgress::new(next));
             }
         }
     }
@@ -278,49 +266,55 @@
             leader_state.ticks_since_heartbeat = 0;
         }
         for id in self.followers() {
-            self.send_entries(id, true);
+            self.send_heartbeat(id);
         }
     }
 
-    /// Sends a follower the entries that it lacks, or a snapshot if they are compacted away. A
-    /// heartbeat is sent even without entries, and resumes after the last entry known to match.
-    fn send_entries(&mut self, to: ReplicaId, is_heartbeat: bool) {
-        let (last_index, base_index) = (self.log.last_index(), self.log.base_index());
-        let max_batch_entries = self.settings.max_batch_entries;
-        let RoleState::Leader(leader_state) = &mut self.role else {
-            return;
-        };
-        let round = leader_state.round;
-        let Some(progress) = leader_state.progress.get_mut(&to) else {
-            return;
-        };
-        if is_heartbeat && progress.matched > LogIndex(0) {
-            progress.next = progress.matched.next();
-        }
-        if progress.next > last_index && !is_heartbeat {
-            return;
-        }
-        if progress.next <= base_index {
-            if progress.install_retry_ticks == 0
-                && let Some(image) = self.image.clone()
-            {
-                progress.install_retry_ticks = INSTALL_RETRY_TICKS;
-                progress.next = image.index.next();
-                self.send(to, Message::Install { image, round });
+    /// Sends a follower the entries that it lacks, unless too many messages are unacknowledged.
+    fn send_entries(&mut self, to: ReplicaId) {
+        let last_index = self.log.last_index();
+        while let Some(progress) = self.progress(to)
+            && progress.may_send_entries()
+            && progress.next <= last_index
+        {
+            let next = progress.next;
+            if next <= self.log.base_index() {
+                return self.send_snapshot(to);
+            }
+            let (max_entries, max_bytes) =
+                (self.settings.max_batch_entries, self.settings.max_batch_bytes);
+            let entries = self.log.slice(next, max_entries, max_bytes).to_vec();
+            let Some(last) = entries.last().map(|entry| entry.index) else {
+                return;
+            };
+            self.send_append(to, next.previous(), entries);
+            if let Some(progress) = self.progress_mut(to) {
+                progress.record_sent(last);
             }
+        }
+    }
+
+    /// Sends a heartbeat without entries. A follower that lacks the entry before the next one to
+    /// send rejects it and states from where to continue.
+    fn send_heartbeat(&mut self, to: ReplicaId) {
+        let Some(next) = self.progress(to).map(|progress| progress.next) else {
             return;
+        };
+        if next <= self.log.base_index() {
+            return self.send_snapshot(to);
         }
-        let prev_index = progress.next.previous();
-        let entries = self.log.slice(progress.next, max_batch_entries).to_vec();
-        progress.next = LogIndex(progress.next.0 + entries.len() as u64);
+        self.send_append(to, next.previous(), Vec::new());
+    }
+
+    fn send_append(&mut self, to: ReplicaId, prev_index: LogIndex, entries: Vec<LogEntry>) {
         let Some(prev_term) = self.log.term(prev_index) else {
             return;
         };
-        let commit = self.commit;
+        let (commit, round) = (self.commit, self.round());
         let message = Message::Append { prev_index, prev_term, entries, commit, round };
         // A leader counts its own entries towards the quorum only once they are durable, so its
         // appends may be sent before that. A new term must be durable first.
-        let envelope = crate::Envelope { from: self.id, to, term: self.term(), message };
+        let envelope = Envelope { from: self.id, to, term: self.term(), message };
         if self.effects.hard_state.is_some() {
             self.effects.messages.push(envelope);
         } else {
@@ -328,6 +322,38 @@
         }
     }
 
+    fn send_snapshot(&mut self, to: ReplicaId) {
+        let (image, round) = (self.image.clone(), self.round());
+        let Some(image) = image else {
+            return;
+        };
+        if let Some(progress) = self.progress_mut(to) {
+            progress.record_snapshot_sent(image.index);
+        }
+        self.send(to, Message::Install { image, round });
+    }
+
+    fn round(&self) -> u64 {
+        match &self.role {
+            RoleState::Leader(leader_state) => leader_state.round,
+            _ => 0,
+        }
+    }
+
+    fn progress(&self, id: ReplicaId) -> Option<&FollowerProgress> {
+        match &self.role {
+            RoleState::Leader(leader_state) => leader_state.progress.get(&id),
+            _ => None,
+        }
+    }
+
+    fn progress_mut(&mut self, id: ReplicaId) -> Option<&mut FollowerProgress> {
+        match &mut self.role {
+            RoleState::Leader(leader_state) => leader_state.progress.get_mut(&id),
+            _ => None,
+        }
+    }
+
     fn complete_reads(&mut self) {
         let RoleState::Leader(leader_state) = &self.role else {
             return;
--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -12,6 +12,7 @@
 mod log;
 mod membership;
 mod message;
+mod progress;
 mod role;
 mod verify;
 
@@ -22,5 +23,5 @@
 pub use membership::{
     Member, MemberRole, Membership, MembershipChange, MembershipError, ReplicaId,
 };
-pub use message::{Envelope, Message};
+pub use message::{AppendResult, Envelope, Message};
 pub use verify::{ConsensusViolation, InvariantChecker};
--- a/crates/consensus/src/log.rs
+++ b/crates/consensus/src/log.rs
@@ -5,6 +5,11 @@
 use std::{fmt, sync::Arc};
 use types::{Command, LogTime};
 
+/// Approximate size of an encoded entry without its content, in bytes.
+const HEADER_BYTES: usize = 16;
+/// Approximate size of an encoded member, in bytes.
+const MEMBER_BYTES: usize = 48;
+
 /// Raft term. Each election starts a new one.
 #[derive(
     Debug, Clone, Copy, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
@@ -59,6 +64,19 @@
     pub payload: LogPayload,
 }
 
+impl LogEntry {
+    /// Returns the approximate size of the encoded entry in bytes.
+    pub(crate) fn approximate_bytes(&self) -> usize {
+        match &self.payload {
+            LogPayload::Noop => HEADER_BYTES,
+            LogPayload::Command(command) => HEADER_BYTES + command.approximate_bytes(),
+            LogPayload::Membership(membership) => {
+                HEADER_BYTES + membership.members().len() * MEMBER_BYTES
+            }
+        }
+    }
+}
+
 /// A snapshot, which replaces the log up to an index.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SnapshotImage {
@@ -139,14 +157,22 @@
         self.entries.get(offset as usize)
     }
 
-    /// Returns at most `limit` entries, starting at `first`; none if `first` is compacted away.
-    pub(crate) fn slice(&self, first: LogIndex, limit: usize) -> &[LogEntry] {
+    /// Returns at most `limit` entries of about `max_bytes` in total, but at least one if there is
+    /// one, starting at `first`; none if `first` is compacted away.
+    pub(crate) fn slice(&self, first: LogIndex, limit: usize, max_bytes: usize) -> &[LogEntry] {
         let Some(offset) = first.0.checked_sub(self.base_index.0 + 1) else {
             return &[];
         };
         let start = (offset as usize).min(self.entries.len());
         let end = start.saturating_add(limit).min(self.entries.len());
-        &self.entries[start..end]
+        let entries = &self.entries[start..end];
+        let mut bytes = 0;
+        let is_within_limit = |entry: &&LogEntry| {
+            bytes += entry.approximate_bytes();
+            bytes <= max_bytes
+        };
+        let count = entries.iter().take_while(is_within_limit).count();
+        &entries[..count.max(1).min(entries.len())]
     }
 
     pub(crate) fn push(&mut self, entry: LogEntry) {
--- a/crates/consensus/src/message.rs
+++ b/crates/consensus/src/message.rs
@@ -18,6 +18,20 @@
     pub message: Message,
 }
 
+/// Whether a follower accepted an append or a snapshot.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum AppendResult {
+    /// The follower's log equals the leader's up to this index.
+    Matched(LogIndex),
+    /// The follower's log differs from the leader's at `prev_index`, or does not reach it.
+    Rejected {
+        /// Index of the entry that precedes those in the rejected message.
+        prev_index: LogIndex,
+        /// Index up to which the logs may match.
+        hint: LogIndex,
+    },
+}
+
 /// The content of a message.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Message {
@@ -69,11 +83,8 @@
     },
     /// Answers `Append` or `Install`.
     AppendAnswer {
-        /// If accepted, the receiver's log equals the leader's up to this index; otherwise, the
-        /// leader continues after this index.
-        index: LogIndex,
-        /// Whether the entries were accepted.
-        accepted: bool,
+        /// Whether the message was accepted.
+        result: AppendResult,
         /// The quorum round of the message being answered.
         round: u64,
     },
--- a/crates/consensus/src/role.rs
+++ b/crates/consensus/src/role.rs
@@ -1,6 +1,6 @@
 //! The role of a replica and the state that it keeps in that role.
 
-use crate::{LogIndex, ReadToken, ReplicaId};
+use crate::{LogIndex, ReadToken, ReplicaId, progress::FollowerProgress};
 use smallvec::SmallVec;
 use std::collections::{BTreeMap, VecDeque};
 
@@ -26,22 +26,6 @@
     }
 }
 
-/// Replication progress of one follower.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct FollowerProgress {
-    /// Index of the next entry to send.
-    pub(crate) next: LogIndex,
-    /// Index up to which the follower's log is known to equal the leader's.
-    pub(crate) matched: LogIndex,
-    /// The latest quorum round that the follower acknowledged.
-    pub(crate) acked_round: u64,
-    /// Whether the follower answered, or was added, since the last quorum check.
-    pub(crate) is_active: bool,
-    /// Ticks until an unanswered snapshot is sent again; 0 if one may be sent now. Until then, a
-    /// follower whose next entry is compacted away is sent nothing.
-    pub(crate) install_retry_ticks: u32,
-}
-
 /// A read that waits for a quorum to acknowledge its round.
 #[derive(Debug)]
 pub(crate) struct PendingRead {
--- a/crates/consensus/tests/safety.rs
+++ b/crates/consensus/tests/safety.rs
@@ -6,9 +6,9 @@
 
 use group::{FaultPlan, SimulatedGroup, member};
 use hawthornhill_consensus::{
-    Consensus, ConsensusError, CoreSettings, Envelope, HardState, LogEntry, LogIndex, LogPayload,
-    MemberRole, Membership, MembershipChange, MembershipError, Message, ReadToken, ReplicaId,
-    RestoredState, SnapshotImage, Term,
+    AppendResult, Consensus, ConsensusError, CoreSettings, Envelope, HardState, LogEntry, LogIndex,
+    LogPayload, MemberRole, Membership, MembershipChange, MembershipError, Message, ReadToken,
+    ReplicaId, RestoredState, SnapshotImage, Term,
 };
 use std::sync::Arc;
 use types::LogTime;
@@ -264,7 +264,7 @@
 }
 
 fn accepted(index: u64) -> Message {
-    Message::AppendAnswer { index: LogIndex(index), accepted: true, round: 0 }
+    Message::AppendAnswer { result: AppendResult::Matched(LogIndex(index)), round: 0 }
 }
 
 /// A later leader can still overwrite an entry of an earlier term that is on a quorum.
--- a/crates/peer/tests/messages.rs
+++ b/crates/peer/tests/messages.rs
@@ -125,8 +125,9 @@
 
     #[test]
     fn random_bytes_do_not_panic(mut bytes in proptest::collection::vec(any::<u8>(), 0..300)) {
+        // Any other first byte is rejected as an unknown protocol version.
         if let Some(first) = bytes.first_mut() {
-            *first = 1;
+            *first = encode_frame(TIME, &PeerAnswer::Done).expect("encodes")[0];
         }
         let _ = decode_frame::<PeerRequest>(&bytes);
         let _ = decode_frame::<PeerAnswer>(&bytes);
--- a/crates/types/src/state.rs
+++ b/crates/types/src/state.rs
@@ -24,6 +24,11 @@
 /// Maximum number of decided changes kept to answer resends.
 const MAX_DECIDED_CHANGES: usize = 20_000;
 
+/// Approximate size of an encoded command without a document, in bytes.
+const SMALL_COMMAND_BYTES: usize = 96;
+/// Approximate size of an encoded service of a team's document, in bytes.
+const SERVICE_SPEC_BYTES: usize = 128;
+
 /// A command in the replicated log.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Command {
@@ -55,6 +60,20 @@
     Expire(ServerName, ServerIncarnation),
 }
 
+impl Command {
+    /// Returns the approximate size of the encoded command in bytes.
+    pub fn approximate_bytes(&self) -> usize {
+        match self {
+            // The decoded document takes about as many bytes as its text.
+            Self::PutRouting(_, source) => SMALL_COMMAND_BYTES + 2 * source.len(),
+            Self::Change(ChangeRequest { action: ChangeAction::Document(document), .. }) => {
+                SMALL_COMMAND_BYTES + document.services.len() * SERVICE_SPEC_BYTES
+            }
+            _ => SMALL_COMMAND_BYTES,
+        }
+    }
+}
+
 /// The text of a routing document as the operator sent it.
 pub type SourceText = Arc<str>;
 
