--- a/crates/consensus/src/leader.rs
+++ b/crates/consensus/src/leader.rs
@@ -72,12 +72,10 @@
         time: LogTime,
         change: &MembershipChange,
     ) -> Result<LogIndex, ConsensusError> {
-        self.ensure_leader()?;
         let RoleState::Leader(leader_state) = &self.role else {
             return Err(ConsensusError::NotLeader(self.leader()));
         };
-        let is_pending = self.memberships.last().is_some_and(|(since, _)| *since > self.commit);
-        if is_pending || self.commit < leader_state.first_index {
+        if self.is_membership_change_in_progress() {
             return Err(MembershipError::ChangeInProgress.into());
         }
         if let MembershipChange::Promote(id) = change {
@@ -94,6 +92,16 @@
         Ok(index)
     }
 
+    /// Returns whether this replica leads, but cannot start a membership change yet: another one is
+    /// not committed, or no entry of its term is.
+    pub fn is_membership_change_in_progress(&self) -> bool {
+        let RoleState::Leader(leader_state) = &self.role else {
+            return false;
+        };
+        let is_pending = self.memberships.last().is_some_and(|(since, _)| *since > self.commit);
+        is_pending || self.commit < leader_state.first_index
+    }
+
     /// Asks the most advanced active voter to take over, provided it holds the whole log. Returns
     /// its identity, or `None` if no follower was asked.
     pub fn transfer_leadership(&mut self) -> Option<ReplicaId> {
--- a/crates/consensus/src/membership.rs
+++ b/crates/consensus/src/membership.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 use std::{fmt, net::SocketAddr};
 use thiserror::Error;
-use types::HostName;
+use types::{DomainName, HostName};
 
 /// Identity of a replica, stored in its data folder. Generated at random for an empty folder, except
 /// that at the first start of the system each seed uses a hash of its address.
@@ -36,6 +36,10 @@
     pub host: HostName,
     /// Address at which other processes reach it.
     pub address: SocketAddr,
+    /// Failure domain of its host; `None` while it is not known, as in a group formed from seed
+    /// addresses.
+    #[serde(default)]
+    pub domain: Option<DomainName>,
     /// Its role in elections and replication.
     pub role: MemberRole,
 }
@@ -47,6 +51,10 @@
     AddLearner(Member),
     /// Makes a learner a voter.
     Promote(ReplicaId),
+    /// Makes a voter a learner.
+    Demote(ReplicaId),
+    /// Replaces the host name, address and failure domain of a member. Its role stays.
+    Update(Member),
     /// Removes a member.
     Remove(ReplicaId),
 }
@@ -57,10 +65,10 @@
     /// The identity is already a member. The host is not checked, although the message mentions it.
     #[error("replica {0} or its host is a member already")]
     AlreadyMember(ReplicaId),
-    /// The identity is not a member, or is not a learner although the change requires one.
+    /// The identity is not a member, or its role is not the one that the change requires.
     #[error("replica {0} is not such a member")]
     NoSuchMember(ReplicaId),
-    /// The last voter cannot be removed.
+    /// The last voter cannot be removed or demoted.
     #[error("replica {0} is the last voter")]
     LastVoter(ReplicaId),
     /// Another change is not committed yet, or the leader has not committed an entry of its term.
@@ -126,11 +134,21 @@
                 members.push(Member { role: MemberRole::Learner, ..member.clone() });
             }
             MembershipChange::Promote(id) => {
+                find_member(&mut members, *id, MemberRole::Learner)?.role = MemberRole::Voter;
+            }
+            MembershipChange::Demote(id) => {
+                let demoted = find_member(&mut members, *id, MemberRole::Voter)?;
+                demoted.role = MemberRole::Learner;
+                if self.voters().count() == 1 {
+                    return Err(MembershipError::LastVoter(*id));
+                }
+            }
+            MembershipChange::Update(updated) => {
                 let member = members
                     .iter_mut()
-                    .find(|member| member.id == *id && member.role == MemberRole::Learner)
-                    .ok_or(MembershipError::NoSuchMember(*id))?;
-                member.role = MemberRole::Voter;
+                    .find(|member| member.id == updated.id)
+                    .ok_or(MembershipError::NoSuchMember(updated.id))?;
+                *member = Member { role: member.role, ..updated.clone() };
             }
             MembershipChange::Remove(id) => {
                 let removed = self.get(*id).ok_or(MembershipError::NoSuchMember(*id))?;
@@ -143,3 +161,12 @@
         Ok(Self { members })
     }
 }
+
+fn find_member(
+    members: &mut [Member],
+    id: ReplicaId,
+    role: MemberRole,
+) -> Result<&mut Member, MembershipError> {
+    let found = members.iter_mut().find(|member| member.id == id && member.role == role);
+    found.ok_or(MembershipError::NoSuchMember(id))
+}
--- a/crates/consensus/tests/election_timer.rs
+++ b/crates/consensus/tests/election_timer.rs
@@ -17,6 +17,7 @@
         id: ReplicaId(id),
         host: format!("core-{id}").parse().expect("name"),
         address: ([10, 0, 0, 1], id as u16).into(),
+        domain: None,
         role: MemberRole::Voter,
     };
     let image = SnapshotImage {
--- a/crates/consensus/tests/group/mod.rs
+++ b/crates/consensus/tests/group/mod.rs
@@ -88,6 +88,7 @@
         id: ReplicaId(id),
         host: format!("host-{id}").parse().expect("valid name"),
         address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        domain: None,
         role,
     }
 }
--- a/crates/consensus/tests/replication.rs
+++ b/crates/consensus/tests/replication.rs
@@ -31,6 +31,7 @@
             id: ReplicaId(id),
             host: format!("core-{id}").parse().expect("name"),
             address: ([10, 0, 0, 1], id as u16).into(),
+            domain: None,
             role: MemberRole::Voter,
         };
         let image = SnapshotImage {
--- a/crates/consensus/tests/safety.rs
+++ b/crates/consensus/tests/safety.rs
@@ -143,6 +143,8 @@
             let is_committed = match change {
                 MembershipChange::AddLearner(member) => members.get(member.id).is_some(),
                 MembershipChange::Promote(id) => members.is_voter(*id),
+                MembershipChange::Demote(id) => !members.is_voter(*id),
+                MembershipChange::Update(member) => members.get(member.id) == Some(member),
                 MembershipChange::Remove(id) => members.get(*id).is_none(),
             };
             Some(is_committed && commit > LogIndex(1))
--- a/crates/control/src/group.rs
+++ b/crates/control/src/group.rs
@@ -1,10 +1,14 @@
 //! Bootstraps the set of replicas from seeds, joins it, and removes lost members.
 
-use crate::membership::{MemberHealth, plan_member_removal};
+use crate::{
+    membership::{MemberHealth, VoterLimits, plan_membership_change},
+    order_router::OrderRouter,
+};
 use consensus::{Member, MemberRole, MembershipChange, ReplicaId};
 use follow::{LeaderClient, SubmitResult};
-use replica::{ReplicaHandle, ReplicaStatus};
-use runtime::{Logger, TimerService};
+use peer::PeerLink;
+use replica::{MemberList, MemberStatus, ReplicaHandle};
+use runtime::{Logger, ReplicaAddress, TimerService};
 use slog::{info, warn};
 use std::{
     collections::BTreeMap,
@@ -12,7 +16,7 @@
     sync::Arc,
     time::{Duration, Instant},
 };
-use types::HostName;
+use types::{DomainName, HostName};
 
 /// Period of the checks of the set of replicas.
 const CHECK_PERIOD: Duration = Duration::from_millis(300);
@@ -20,6 +24,9 @@
 const CHANGE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Minimum time between log lines about a pending join.
 const JOIN_LOG_PERIOD: Duration = Duration::from_secs(5);
+/// Time without a leader after which a member asks to join again: it may have been removed while it
+/// was away, and then no longer receives the log that says so.
+const REJOIN_PERIOD: Duration = Duration::from_secs(4);
 
 /// Settings of a [`MembershipManager`].
 pub struct MembershipSettings {
@@ -29,23 +36,29 @@
     pub address: SocketAddr,
     /// Addresses of the replicas that bootstrap a new set of replicas.
     pub seeds: Vec<SocketAddr>,
+    /// Failure domain of this process.
+    pub domain: DomainName,
     /// Whether the whole system starts for the first time. Only then do the seeds bootstrap the set
     /// of replicas; all other replicas join it.
     pub is_first_start: bool,
-    /// Minimum number of active voters that must remain when a lost one is removed.
-    pub min_voters: usize,
+    /// Limits on the number of voters.
+    pub limits: VoterLimits,
 }
 
-/// Keeps this replica a member of the set of replicas, and removes lost members while it leads.
+/// Keeps this replica a member of the set of replicas. While it leads, replaces lost members and
+/// chooses the voters.
 pub struct MembershipManager {
     settings: MembershipSettings,
     replica: ReplicaHandle,
     leader: Arc<LeaderClient>,
+    router: OrderRouter,
     logger: Logger,
     /// When each member was last active; maintained only while this replica leads.
     last_active: BTreeMap<ReplicaId, Instant>,
     /// When the pending join was last logged.
     join_logged_at: Option<Instant>,
+    /// When a leader was last known, or when this replica last asked to join again.
+    leader_known_at: Instant,
 }
 
 /// Returns the identity of a seed when the system starts for the first time: the FNV-1a hash of its
@@ -63,15 +76,19 @@
         settings: MembershipSettings,
         replica: ReplicaHandle,
         leader: Arc<LeaderClient>,
+        link: Arc<dyn PeerLink>,
         logger: Logger,
     ) -> Self {
+        let router = OrderRouter::new(replica.clone(), link);
         Self {
             settings,
             replica,
             leader,
+            router,
             logger,
             last_active: BTreeMap::new(),
             join_logged_at: None,
+            leader_known_at: Instant::now(),
         }
     }
 
@@ -79,35 +96,52 @@
     pub async fn run(mut self, timer: TimerService) {
         let mut ticks = timer.subscribe(CHECK_PERIOD);
         loop {
-            let Ok(status) = self.replica.status().await else {
+            let Ok(list) = self.replica.members().await else {
                 return;
             };
-            self.check(&status).await;
+            self.check(&list).await;
             if ticks.tick().await.is_none() {
                 return;
             }
         }
     }
 
-    /// Makes the change that is due: promotion, join or bootstrap of this replica, and removal of a
-    /// lost member if it leads.
-    async fn check(&mut self, status: &ReplicaStatus) {
-        let own = status.members.iter().find(|member| member.member.id == status.id);
-        match own.map(|own| own.member.role) {
-            Some(MemberRole::Voter) => {}
-            Some(MemberRole::Learner) => {
-                self.change_membership(MembershipChange::Promote(status.id)).await
+    /// Makes the change that is due: join or bootstrap of this replica, an update of its record, or,
+    /// if it leads, the next change of the set.
+    async fn check(&mut self, list: &MemberList) {
+        let now = Instant::now();
+        if list.has_leader {
+            self.leader_known_at = now;
+        }
+        match list.members.iter().find(|member| member.member.id == list.id) {
+            Some(own) if !list.has_leader => {
+                self.leader.set_replicas(&other_addresses(list));
+                if now.saturating_duration_since(self.leader_known_at) > REJOIN_PERIOD {
+                    self.leader_known_at = now;
+                    self.join(own.member.id).await;
+                }
             }
-            None if status.is_initialised => self.join(status.id).await,
-            None => self.bootstrap_or_join(status.id).await,
+            Some(own) => self.update_record(&own.member).await,
+            None if list.is_initialised => self.join(list.id).await,
+            None => self.bootstrap_or_join(list.id).await,
         }
-        if status.is_leader {
-            self.remove_lost_member(status).await;
+        if list.is_leader {
+            self.change_members(list).await;
         } else {
             self.last_active.clear();
         }
     }
 
+    /// Completes the record of a member that was formed from a seed address.
+    async fn update_record(&self, own: &Member) {
+        let (host, address) = (self.settings.host.clone(), self.settings.address);
+        let domain = Some(self.settings.domain.clone());
+        let current = Member { host, address, domain, ..own.clone() };
+        if current != *own {
+            self.route_change(MembershipChange::Update(current)).await;
+        }
+    }
+
     async fn bootstrap_or_join(&mut self, id: ReplicaId) {
         let is_seed = self.settings.seeds.contains(&self.settings.address);
         if !(self.settings.is_first_start && is_seed) {
@@ -118,6 +152,7 @@
             id: seed_identity(*address),
             host: seed_host(*address),
             address: *address,
+            domain: None,
             role: MemberRole::Voter,
         });
         match self.replica.bootstrap(members.collect()).await {
@@ -133,17 +168,22 @@
             info!(self.logger, "asking to join the set of replicas"; "id" => %id);
         }
         let (host, address) = (self.settings.host.clone(), self.settings.address);
-        let member = Member { id, host, address, role: MemberRole::Learner };
-        self.change_membership(MembershipChange::AddLearner(member)).await;
+        let domain = Some(self.settings.domain.clone());
+        let member = Member { id, host, address, domain, role: MemberRole::Learner };
+        let change = MembershipChange::AddLearner(member);
+        let text = format!("{change:?}");
+        let deadline = Instant::now() + CHANGE_TIMEOUT;
+        let result = self.leader.change_membership(change, deadline).await;
+        self.log_change(&text, &result);
     }
 
-    /// Removes one lost member if that is safe. The replica that replaces it joins by itself.
-    async fn remove_lost_member(&mut self, status: &ReplicaStatus) {
+    /// Makes the next change of the set of replicas, if one is due.
+    async fn change_members(&mut self, list: &MemberList) {
         let now = Instant::now();
-        self.last_active.retain(|id, _| status.members.iter().any(|m| m.member.id == *id));
-        let mut members = Vec::with_capacity(status.members.len());
-        for member in &status.members {
-            let is_self = member.member.id == status.id;
+        self.last_active.retain(|id, _| list.members.iter().any(|m| m.member.id == *id));
+        let mut members = Vec::with_capacity(list.members.len());
+        for member in &list.members {
+            let is_self = member.member.id == list.id;
             let last_active = self.last_active.entry(member.member.id).or_insert(now);
             if is_self || member.is_active == Some(true) {
                 *last_active = now;
@@ -151,27 +191,40 @@
             let inactive_for = now.saturating_duration_since(*last_active);
             members.push(MemberHealth { status: member.clone(), inactive_for });
         }
-        if let Some(change) = plan_member_removal(&members, self.settings.min_voters) {
-            info!(self.logger, "replacing a lost member"; "change" => format!("{change:?}"),
-                "members" => members.len());
-            self.change_membership(change).await;
+        if let Some(change) = plan_membership_change(&members, list.id, self.settings.limits) {
+            self.route_change(change).await;
         }
     }
 
-    async fn change_membership(&self, change: MembershipChange) {
+    async fn route_change(&self, change: MembershipChange) {
         let text = format!("{change:?}");
         let deadline = Instant::now() + CHANGE_TIMEOUT;
-        match self.leader.change_membership(change, deadline).await {
+        let result = self.router.change_membership(&change, deadline).await;
+        self.log_change(&text, &result);
+    }
+
+    fn log_change(&self, change: &str, result: &SubmitResult) {
+        match result {
             // The leader has accepted the change, which need not be committed yet.
             SubmitResult::Applied(_) => {
-                info!(self.logger, "set of replicas changes"; "change" => text);
+                info!(self.logger, "set of replicas changes"; "change" => change);
             }
-            // Refused while another change is in progress; retried at the next check.
+            // Retried at the next check, if it is still due.
             SubmitResult::Refused(_) | SubmitResult::Unknown => {}
         }
     }
 }
 
+/// Returns the addresses of all members but the replica itself.
+fn other_addresses(list: &MemberList) -> Vec<ReplicaAddress> {
+    let others = list.members.iter().filter(|member| member.member.id != list.id);
+    let address = |status: &MemberStatus| ReplicaAddress {
+        host: status.member.host.clone(),
+        address: status.member.address,
+    };
+    others.map(address).collect()
+}
+
 /// Returns a placeholder host name for a seed, of which only the address is known.
 fn seed_host(address: SocketAddr) -> HostName {
     let text = address.ip().to_string().replace(':', "-");
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -9,10 +9,11 @@
 mod group;
 mod liveness;
 mod membership;
+mod order_router;
 mod plane;
 
 pub use directory::{DIRECTORY_MAX_AGE, EntryDirectory, directory_entries};
 pub use error::ControlError;
 pub use group::{MembershipManager, MembershipSettings, seed_identity};
-pub use membership::{MemberHealth, plan_member_removal};
+pub use membership::{MemberHealth, VoterLimits, plan_membership_change};
 pub use plane::{ControlPlane, ReplicaControl};
--- a/crates/control/src/liveness.rs
+++ b/crates/control/src/liveness.rs
@@ -1,8 +1,8 @@
 //! Records which servers announce themselves to this replica and reports them to the leader.
 
-use follow::LeaderClient;
 use parking_lot::Mutex;
-use peer::{PeerLink, PeerRequest};
+use peer::{PeerLink, PeerRequest, PeerTarget};
+use replica::{KnownLeader, ReplicaHandle};
 use runtime::TimerService;
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 use types::{Announcement, ServerIncarnation, ServerName};
@@ -26,18 +26,25 @@
     /// servers are kept for the next report.
     pub(crate) async fn run(
         self: Arc<Self>,
-        leader: Arc<LeaderClient>,
+        replica: ReplicaHandle,
         link: Arc<dyn PeerLink>,
         timer: TimerService,
     ) {
         let mut ticks = timer.subscribe(REPORT_PERIOD);
+        let leader = replica.leader();
         while ticks.tick().await.is_some() {
-            let Some(target) = leader.leader() else {
+            let known_leader = leader.borrow().clone();
+            if known_leader == KnownLeader::Unknown || self.servers.lock().is_empty() {
                 continue;
-            };
-            let servers = std::mem::take(&mut *self.servers.lock());
-            if !servers.is_empty() {
-                link.send(&target, PeerRequest::ServersSeen(servers.into_iter().collect()));
+            }
+            let servers = std::mem::take(&mut *self.servers.lock()).into_iter().collect();
+            match known_leader {
+                KnownLeader::Unknown => {}
+                KnownLeader::Local => replica.record_servers_seen(servers),
+                KnownLeader::Remote(leader) => {
+                    let target = PeerTarget { host: leader.host, address: leader.address };
+                    link.send(&target, PeerRequest::ServersSeen(servers));
+                }
             }
         }
     }
--- a/crates/control/src/plane.rs
+++ b/crates/control/src/plane.rs
@@ -1,9 +1,12 @@
 //! The interface of the control plane and its implementation on top of a replica.
 
-use crate::{ControlError, EntryDirectory, directory_entries, liveness::LivenessReporter};
+use crate::{
+    ControlError, EntryDirectory, directory_entries, liveness::LivenessReporter,
+    order_router::OrderRouter,
+};
 use async_trait::async_trait;
-use follow::{LeaderClient, SubmitResult};
-use peer::{PeerLink, SubmitAnswer};
+use follow::SubmitResult;
+use peer::{FreshnessAnswer, FreshnessRequest, PeerLink};
 use replica::ReplicaHandle;
 use runtime::{DecisionCounters, Logger, TimerService};
 use slog::{info, warn};
@@ -13,7 +16,7 @@
     sync::Arc,
     time::{Duration, Instant},
 };
-use tokio::time::sleep;
+use tokio::time::timeout;
 use types::{
     AnnounceDecision, Announcement, Command, CommandAnswer, DomainName, RoutingDecision,
     RoutingDocument, RoutingVersion, ServerName, ServerState, SourceText,
@@ -22,11 +25,6 @@
 /// Timeout of a decision. Shorter than the 1 s for which clients of the control plane wait.
 const DECISION_TIMEOUT: Duration = Duration::from_millis(900);
 
-/// Timeout for the local replica to apply what the leader has confirmed.
-const APPLY_TIMEOUT: Duration = Duration::from_millis(400);
-/// Polling interval during [`APPLY_TIMEOUT`].
-const APPLY_CHECK_PERIOD: Duration = Duration::from_millis(10);
-
 /// Requests that operators and servers may send to a replica.
 #[async_trait]
 pub trait ControlPlane: Send + Sync {
@@ -55,7 +53,7 @@
 /// The control plane of a replica, which submits every command to the leader, local or remote.
 pub struct ReplicaControl {
     replica: ReplicaHandle,
-    leader: Arc<LeaderClient>,
+    router: OrderRouter,
     liveness: Arc<LivenessReporter>,
     domains: BTreeSet<DomainName>,
     counters: DecisionCounters,
@@ -69,7 +67,6 @@
     /// is empty, every failure domain is accepted.
     pub fn start(
         replica: ReplicaHandle,
-        leader: Arc<LeaderClient>,
         link: Arc<dyn PeerLink>,
         domains: BTreeSet<DomainName>,
         timer: TimerService,
@@ -77,23 +74,15 @@
         logger: Logger,
     ) -> Arc<Self> {
         let liveness = Arc::new(LivenessReporter::default());
-        tokio::spawn(liveness.clone().run(leader.clone(), link, timer));
-        Arc::new(Self { replica, leader, liveness, domains, counters, logger })
+        tokio::spawn(liveness.clone().run(replica.clone(), link.clone(), timer));
+        let router = OrderRouter::new(replica.clone(), link);
+        Arc::new(Self { replica, router, liveness, domains, counters, logger })
     }
 
-    /// Submits a command to the local replica or, if it is not the leader, to the leader. Waits
-    /// until the command is applied.
+    /// Submits a command to the leader and waits until it is applied there.
     async fn submit(&self, command: Command) -> Result<CommandAnswer, ControlError> {
         let deadline = Instant::now() + DECISION_TIMEOUT;
-        // The local replica answers immediately if it is not the leader.
-        let local = tokio::time::timeout(DECISION_TIMEOUT, self.replica.submit(command.clone()));
-        match local.await {
-            Ok(SubmitAnswer::Applied(answer)) => return Ok(answer),
-            Ok(SubmitAnswer::Refused(reason)) => return Err(ControlError::Unavailable(reason)),
-            Ok(SubmitAnswer::NotLeader(_) | SubmitAnswer::Accepted | SubmitAnswer::Unknown) => {}
-            Err(_) => return Err(ControlError::Unavailable("the quorum is silent".to_owned())),
-        }
-        match self.leader.submit(command, deadline).await {
+        match self.router.submit(&command, deadline).await {
             SubmitResult::Applied(answer) => Ok(answer),
             SubmitResult::Refused(reason) => Err(ControlError::Unavailable(reason)),
             SubmitResult::Unknown => {
@@ -215,24 +204,18 @@
     }
 
     async fn read_routing(&self) -> Result<SourceText, ControlError> {
-        let base = self.replica.view();
-        let view = self.leader.read_since(&base, DECISION_TIMEOUT).await;
-        let view = view
-            .ok_or_else(|| ControlError::Unavailable("no leader confirmed the read".to_owned()))?;
-        let version = view.routing().ok_or(ControlError::NoRouting)?.version;
-        // The view contains the version in force, but not the document's text. The text comes from
-        // the local replica, which may not have applied that version yet.
-        let deadline = Instant::now() + APPLY_TIMEOUT;
-        loop {
-            if let Some(source) = self.replica.routing_source(version) {
-                return Ok(source);
-            }
-            if Instant::now() >= deadline {
-                let reason = format!("version {version} has not arrived here yet");
-                return Err(ControlError::Unavailable(reason));
-            }
-            sleep(APPLY_CHECK_PERIOD).await;
+        // Once the read is confirmed, the local replica has applied every earlier decision.
+        let request = FreshnessRequest {
+            entry: None,
+            version: self.replica.view().version,
+            known_replicas: 0,
+            may_relay: true,
+        };
+        let confirmed = timeout(DECISION_TIMEOUT, self.replica.freshness(request)).await;
+        if !matches!(confirmed, Ok(FreshnessAnswer::Granted(_))) {
+            return Err(ControlError::Unavailable("no leader confirmed the read".to_owned()));
         }
+        self.replica.routing_source().ok_or(ControlError::NoRouting)
     }
 
     async fn set_drain(&self, domain: DomainName, is_drained: bool) -> Result<(), ControlError> {
--- a/crates/ctl/src/replicas.rs
+++ b/crates/ctl/src/replicas.rs
@@ -104,5 +104,6 @@
         .replica
         .as_ref()
         .ok_or_else(|| CtlError::Usage(format!("{} is not a replica", page.process)))?;
-    Ok(Member { id: replica.id, host: page.process.clone(), address: page.peer_address, role })
+    let (host, address) = (page.process.clone(), page.peer_address);
+    Ok(Member { id: replica.id, host, address, domain: Some(page.domain.clone()), role })
 }
--- a/crates/daemon/src/site.rs
+++ b/crates/daemon/src/site.rs
@@ -4,8 +4,8 @@
 use anyhow::{Context, Result};
 use consensus::{CoreSettings, ReplicaId};
 use control::{
-    EntryDirectory, MembershipManager, MembershipSettings, ReplicaControl, directory_entries,
-    seed_identity,
+    EntryDirectory, MembershipManager, MembershipSettings, ReplicaControl, VoterLimits,
+    directory_entries, seed_identity,
 };
 use follow::LeaderClient;
 use gateway::{GatewayDependencies, GatewayNode, GatewaySettings};
@@ -214,19 +214,20 @@
             host: settings.host.clone(),
             address: settings.peer_address(),
             seeds: settings.seeds.clone(),
+            domain: settings.domain.clone(),
             is_first_start: settings.is_first_start,
-            min_voters: 2 * settings.tolerated_losses + 1,
+            limits: VoterLimits::for_losses(settings.tolerated_losses),
         };
         let manager = MembershipManager::new(
             membership,
             replica.clone(),
             self.leader.clone(),
+            Arc::new(self.node.clone()),
             self.logger.clone(),
         );
         tokio::spawn(manager.run(self.timer.clone()));
         let control = ReplicaControl::start(
             replica.clone(),
-            self.leader.clone(),
             Arc::new(self.node.clone()),
             settings.domains.clone(),
             self.timer.clone(),
--- a/crates/daemon/tests/freshness.rs
+++ b/crates/daemon/tests/freshness.rs
@@ -202,6 +202,7 @@
             id: new,
             host: page.process.clone(),
             address: page.peer_address,
+            domain: None,
             role: consensus::MemberRole::Learner,
         };
         for change in [
--- a/crates/follow/src/leader.rs
+++ b/crates/follow/src/leader.rs
@@ -18,7 +18,7 @@
     sync::Arc,
     time::{Duration, Instant},
 };
-use types::{ClusterView, Command, CommandAnswer, ViewUpdate, ViewVersion};
+use types::{ClusterView, Command, CommandAnswer, ViewVersion};
 
 /// Time allowed for one attempt to submit a command or a membership change.
 const SUBMIT_TIMEOUT: Duration = Duration::from_millis(700);
@@ -207,30 +207,15 @@
     }
 
     /// Reads the whole current view. Returns `None` if no leader sends it in time, or if the
-    /// answer cannot be decoded or is not a whole view.
+    /// answer cannot be decoded.
     pub async fn read_view(&self, timeout: Duration) -> Option<ClusterView> {
         // No view has this version, so the answer contains the whole view.
-        match self.read_update(ViewVersion(u64::MAX), timeout).await? {
-            ViewUpdate::Whole(view) => Some(*view),
-            ViewUpdate::Changes(_) => None,
-        }
-    }
-
-    /// Returns the current view, which is `base` with the changes since then. Returns `None` if no
-    /// leader sends the changes in time or they cannot be decoded.
-    pub async fn read_since(&self, base: &ClusterView, timeout: Duration) -> Option<ClusterView> {
-        let update = self.read_update(base.version, timeout).await?;
-        let mut view = base.clone();
-        view.update(update);
-        Some(view)
-    }
-
-    async fn read_update(&self, version: ViewVersion, timeout: Duration) -> Option<ViewUpdate> {
         let (entry, known_replicas, may_relay) = (None, 0, false);
+        let version = ViewVersion(u64::MAX);
         let request = FreshnessRequest { entry, version, known_replicas, may_relay };
         let request = PeerRequest::Freshness(request);
         let grant = into_grant(self.call_leader(&request, timeout, freshness_source).await)?;
-        grant.update.unpack().ok()
+        grant.update.apply_to(&ClusterView::default()).ok()
     }
 
     /// Submits a command repeatedly until its outcome is known or the deadline passes. The command
@@ -280,6 +265,11 @@
         self.targets.lock().known.clone()
     }
 
+    /// Returns the known replicas, followed by the seeds at other addresses.
+    pub(crate) fn replicas_and_seeds(&self) -> Vec<PeerTarget> {
+        self.targets.lock().all()
+    }
+
     /// Sends a request to one replica, which need not be the leader.
     pub(crate) async fn call_replica(
         &self,
--- a/crates/follow/src/refresher.rs
+++ b/crates/follow/src/refresher.rs
@@ -4,12 +4,10 @@
 //! when the answer arrived: the leader answers only after a quorum round that began after the
 //! request arrived.
 
-use crate::{
-    LeaderClient, ReplicaSelector,
-    grants::{freshness_source, into_grant},
-};
+use crate::{LeaderClient, ReplicaSelector, grants::into_grant};
 use futures_util::future::{Either, select};
-use peer::{FreshnessGrant, FreshnessRequest, PeerRequest, PeerTarget};
+use peer::{FreshnessGrant, FreshnessRequest, PeerAnswer, PeerError, PeerRequest, PeerTarget};
+use rand::seq::IteratorRandom;
 use runtime::{DecisionCounters, EventKind, EventTags, EventTimeline, Logger, TimerService};
 use slog::{info, warn};
 use std::{
@@ -30,15 +28,18 @@
 /// Pause before the next request for a first view, as a multiple of the duration of the last
 /// request. It reduces the load on slow replicas when all entries start together.
 const FIRST_VIEW_BACKOFF: u32 = 2;
-/// Time after which the leader is asked too if the selected replica has not answered. A follower
+/// Time after which a second replica is asked too if the selected one has not answered. A follower
 /// may take 250 ms: up to 100 ms until it requests a read index, 50 ms for the leader's quorum
 /// round, and 100 ms until the heartbeat with the commit index. The rest allows for busy hosts.
-const LEADER_HEDGE_DELAY: Duration = Duration::from_millis(400);
-/// Replaces [`LEADER_HEDGE_DELAY`] until there is a first view. A view of 3,000 servers takes 0.4 s
-/// over a link of 2 Mbit/s, and sending it to all entries would overload the leader.
+const HEDGE_DELAY: Duration = Duration::from_millis(400);
+/// Replaces [`HEDGE_DELAY`] until there is a first view. A view of 3,000 servers takes 0.4 s over a
+/// link of 2 Mbit/s.
 const FIRST_VIEW_HEDGE_DELAY: Duration = Duration::from_millis(1_000);
-/// Time allowed for one freshness request.
+/// Time allowed for the answer of one replica.
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(600);
+/// Replaces [`REQUEST_TIMEOUT`] until there is a first view. The largest view that the system is
+/// designed for takes about 2 s over a link of 2 Mbit/s.
+const FIRST_VIEW_TIMEOUT: Duration = Duration::from_millis(3_000);
 
 /// Stores the view of an entry.
 pub trait ViewStore: Send + Sync {
@@ -127,49 +128,85 @@
         }
     }
 
-    /// Requests a grant from the selected replica, and from the leader too if the replica fails or
-    /// does not answer in time.
+    /// Requests a grant from the selected replica, and from a second one too if the first fails or
+    /// does not answer in time. Any replica can answer, so the leader need not be located: its load
+    /// does not grow with the number of entries, and entries without an answer do not ask all
+    /// replicas at once.
     async fn request_grant(&mut self, version: ViewVersion) -> Option<FreshnessGrant> {
-        let request = |may_relay| {
-            let entry = Some(self.store.info());
-            let known_replicas = self.leader.replicas_digest();
-            let request = FreshnessRequest { entry, version, known_replicas, may_relay };
-            PeerRequest::Freshness(request)
+        let request = FreshnessRequest {
+            entry: Some(self.store.info()),
+            version,
+            known_replicas: self.leader.replicas_digest(),
+            may_relay: true,
         };
-        let (replica_request, leader_request) = (request(true), request(false));
-        let Some(target) = self.select_replica() else {
-            return into_grant(
-                self.leader.call_leader(&leader_request, REQUEST_TIMEOUT, freshness_source).await,
-            );
+        let request = PeerRequest::Freshness(request);
+        let is_first = version == ViewVersion::default();
+        let (hedge_delay, request_timeout) = match is_first {
+            true => (FIRST_VIEW_HEDGE_DELAY, FIRST_VIEW_TIMEOUT),
+            false => (HEDGE_DELAY, REQUEST_TIMEOUT),
         };
+        let target = self.select_replica(self.draw)?;
         let leader = self.leader.clone();
-        let mut from_replica = pin!(leader.call_replica(&target, replica_request, REQUEST_TIMEOUT));
-        let is_first = version == ViewVersion::default();
-        let hedge_delay = if is_first { FIRST_VIEW_HEDGE_DELAY } else { LEADER_HEDGE_DELAY };
-        let answered = timeout(hedge_delay, &mut from_replica).await;
+        let mut first = pin!(leader.call_replica(&target, request.clone(), request_timeout));
+        let answered = timeout(hedge_delay, &mut first).await;
         let has_timed_out = answered.is_err();
         if let Some(grant) = into_grant(answered.ok().and_then(Result::ok)) {
-            self.selector.record_success(target.address, grant.domain.clone());
-            self.log_replica_change(&target, &grant);
+            self.record_success(&target, &grant);
             return Some(grant);
         }
-        self.selector.record_failure(target.address, Instant::now());
-        self.context.counters.count("near-replica-failed");
-        if self.last_replica.take().is_some() {
-            warn!(self.context.logger, "replica does not confirm the view";
-                "replica" => %target.address, "silent" => has_timed_out);
-        }
-        let from_leader =
-            pin!(leader.call_leader(&leader_request, REQUEST_TIMEOUT, freshness_source));
+        self.record_failure(&target, has_timed_out);
+        let Some(second_target) = self.select_replica(rand::random()).filter(|t| *t != target)
+        else {
+            return if has_timed_out { into_grant(first.await.ok()) } else { None };
+        };
+        let second = pin!(leader.call_replica(&second_target, request, request_timeout));
         if !has_timed_out {
-            return into_grant(from_leader.await);
+            let answer = second.await;
+            return self.finish_second(&second_target, answer);
         }
-        match select(from_replica, from_leader).await {
-            Either::Left((answer, from_leader)) => match into_grant(answer.ok()) {
+        match select(first, second).await {
+            Either::Left((answer, second)) => match into_grant(answer.ok()) {
+                Some(grant) => Some(grant),
+                None => {
+                    let answer = second.await;
+                    self.finish_second(&second_target, answer)
+                }
+            },
+            Either::Right((answer, first)) => match self.finish_second(&second_target, answer) {
                 Some(grant) => Some(grant),
-                None => into_grant(from_leader.await),
+                None => into_grant(first.await.ok()),
             },
-            Either::Right((answer, _)) => into_grant(answer),
+        }
+    }
+
+    fn finish_second(
+        &mut self,
+        target: &PeerTarget,
+        answer: Result<PeerAnswer, PeerError>,
+    ) -> Option<FreshnessGrant> {
+        match into_grant(answer.ok()) {
+            Some(grant) => {
+                self.record_success(target, &grant);
+                Some(grant)
+            }
+            None => {
+                self.record_failure(target, true);
+                None
+            }
+        }
+    }
+
+    fn record_success(&mut self, target: &PeerTarget, grant: &FreshnessGrant) {
+        self.selector.record_success(target.address, grant.domain.clone());
+        self.log_replica_change(target, grant);
+    }
+
+    fn record_failure(&mut self, target: &PeerTarget, was_silent: bool) {
+        self.selector.record_failure(target.address, Instant::now());
+        self.context.counters.count("replica-failed");
+        if self.last_replica.take().is_some() {
+            warn!(self.context.logger, "replica does not confirm the view";
+                "replica" => %target.address, "silent" => was_silent);
         }
     }
 
@@ -180,29 +217,32 @@
         }
     }
 
-    fn select_replica(&mut self) -> Option<PeerTarget> {
+    /// Selects a known replica, or a seed if all known replicas have failed recently.
+    fn select_replica(&mut self, draw: f64) -> Option<PeerTarget> {
         let replicas = self.leader.replicas();
         let addresses: Vec<SocketAddr> = replicas.iter().map(|replica| replica.address).collect();
         self.selector.retain(&addresses);
-        let chosen = self.selector.choose(Instant::now(), &addresses, self.draw)?;
-        replicas.into_iter().find(|replica| replica.address == chosen)
+        let chosen = self.selector.choose(Instant::now(), &addresses, draw);
+        let all_replicas = self.leader.replicas_and_seeds();
+        match chosen {
+            Some(chosen) => replicas.into_iter().find(|replica| replica.address == chosen),
+            None => all_replicas.into_iter().choose(&mut rand::rng()),
+        }
     }
 
     fn apply_grant(&self, grant: FreshnessGrant, requested: ViewVersion, sent: Instant) {
         self.leader.set_replicas(&grant.replicas);
         let current = self.store.view();
         debug_assert_eq!(current.version, requested, "only this task changes the view");
-        let update = match grant.update.unpack() {
-            Ok(update) => update,
-            Err(error) => {
-                self.context.counters.count("view-malformed");
-                warn!(self.context.logger, "cannot decode the view update"; "error" => %error);
-                return;
-            }
-        };
-        if !update.is_empty() {
-            let mut view = (*current).clone();
-            view.update(update);
+        if !grant.update.is_empty() {
+            let view = match grant.update.apply_to(&current) {
+                Ok(view) => view,
+                Err(error) => {
+                    self.context.counters.count("view-malformed");
+                    warn!(self.context.logger, "cannot decode the view update"; "error" => %error);
+                    return;
+                }
+            };
             let detail = format!("view {}", view.version.0);
             info!(self.context.logger, "view changed"; "version" => view.version.0,
                 "from" => current.version.0, "routing" => view.routing_version().0,
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -24,7 +24,7 @@
     ConsensusMessage, FreshnessAnswer, FreshnessGrant, FreshnessRequest, PeerAnswer, PeerRequest,
     ReadIndexRequest, SubmitAnswer, ViewTransfer, replicas_digest,
 };
-pub use packing::PackedView;
+pub use packing::{PackedChanges, PackedView};
 pub use quic_node::{LinkTraffic, QuicNode};
 pub use tcp_node::TcpNode;
 pub use tls::{TlsMaterial, operator_client_config, operator_server_config};
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -1,14 +1,14 @@
 //! Message types exchanged between processes.
 
-use crate::{PackedView, PeerError};
+use crate::{PackedChanges, PackedView, PeerError};
 use consensus::{Envelope, LogIndex, MembershipChange, ReplicaId};
 use runtime::ReplicaAddress;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use types::{
-    Announcement, CallAnswer, CallRequest, Command, CommandAnswer, DomainName, EntryInfo,
-    EntryName, HostName, OwnerHeartbeat, RegistryDelta, RegistryRequest, ServerIncarnation,
-    ServerName, SuspectReport, ViewChange, ViewUpdate, ViewVersion,
+    Announcement, CallAnswer, CallRequest, ClusterView, Command, CommandAnswer, DomainName,
+    EntryInfo, EntryName, HostName, OwnerHeartbeat, RegistryDelta, RegistryRequest,
+    ServerIncarnation, ServerName, SuspectReport, ViewChange, ViewUpdate, ViewVersion,
 };
 
 /// A request or a one-way message. The variants of one-way messages say so.
@@ -117,25 +117,50 @@
 pub enum ViewTransfer {
     /// Uncompressed update.
     Plain(ViewUpdate),
-    /// A whole view, packed once for many entries, and the changes that follow it.
-    Packed(PackedView, Vec<ViewChange>),
+    /// An update of which most is packed once for many entries.
+    Packed {
+        /// The whole view that the changes follow; `None` if they follow the entry's view.
+        base: Option<PackedView>,
+        /// Consecutive changes. The first ones may already be part of the view that they follow.
+        segments: Vec<PackedChanges>,
+        /// The changes after the segments.
+        tail: Vec<ViewChange>,
+    },
 }
 
 impl ViewTransfer {
-    /// Decodes the update.
+    /// Returns whether the update contains no changes.
+    pub fn is_empty(&self) -> bool {
+        match self {
+            Self::Plain(update) => update.is_empty(),
+            Self::Packed { base, segments, tail } => {
+                base.is_none() && segments.is_empty() && tail.is_empty()
+            }
+        }
+    }
+
+    /// Returns `view` with the update applied.
     ///
     /// # Errors
     ///
-    /// Fails if the packed view is malformed.
-    pub fn unpack(self) -> Result<ViewUpdate, PeerError> {
-        match self {
-            Self::Plain(update) => Ok(update),
-            Self::Packed(packed, changes) => {
-                let mut view = packed.unpack()?;
-                view.update(ViewUpdate::Changes(changes));
-                Ok(ViewUpdate::Whole(Box::new(view)))
-            }
+    /// Fails if a packed part is malformed, or if the segments do not follow the view.
+    pub fn apply_to(self, view: &ClusterView) -> Result<ClusterView, PeerError> {
+        let (mut view, segments, tail) = match self {
+            Self::Plain(ViewUpdate::Whole(whole)) => return Ok(*whole),
+            Self::Plain(ViewUpdate::Changes(changes)) => (view.clone(), Vec::new(), changes),
+            Self::Packed { base: Some(base), segments, tail } => (base.unpack()?, segments, tail),
+            Self::Packed { base: None, segments, tail } => (view.clone(), segments, tail),
+        };
+        for segment in segments {
+            let known_count = view.version.0.checked_sub(segment.since.0).ok_or_else(|| {
+                let (version, since) = (view.version.0, segment.since.0);
+                PeerError::Malformed(format!("changes since {since} for a view of {version}"))
+            })?;
+            let changes = segment.unpack()?;
+            changes.iter().skip(known_count as usize).for_each(|change| view.apply(change));
         }
+        tail.iter().for_each(|change| view.apply(change));
+        Ok(view)
     }
 }
 
--- a/crates/peer/src/packing.rs
+++ b/crates/peer/src/packing.rs
@@ -1,9 +1,9 @@
-//! Compression of large frames and views, for links with little bandwidth.
+//! Compression of large frames, views and changes, for links with little bandwidth.
 
 use crate::{PeerError, frame::MAX_FRAME_BYTES};
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
-use types::ClusterView;
+use types::{ClusterView, ViewChange, ViewVersion};
 
 /// Minimum size in bytes of a compressed frame. For smaller frames, compression saves less than it
 /// costs.
@@ -41,6 +41,39 @@
     }
 }
 
+/// Consecutive changes of the view, encoded and compressed once for many entries.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PackedChanges {
+    /// The version that the first change follows.
+    pub since: ViewVersion,
+    /// The uncompressed length, followed by LZ4 data.
+    bytes: Bytes,
+}
+
+impl PackedChanges {
+    /// Encodes and compresses the changes that follow version `since`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the changes cannot be encoded.
+    pub fn pack(since: ViewVersion, changes: &[ViewChange]) -> Result<Self, PeerError> {
+        let encoded = postcard::to_stdvec(changes).map_err(|error| malformed(&error))?;
+        Ok(Self { since, bytes: lz4_flex::compress_prepend_size(&encoded).into() })
+    }
+
+    /// Decompresses and decodes the changes.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the bytes are malformed, or if the decompressed size exceeds [`MAX_FRAME_BYTES`].
+    pub fn unpack(&self) -> Result<Vec<ViewChange>, PeerError> {
+        let encoded = decompress(&self.bytes).ok_or_else(|| {
+            PeerError::Malformed("packed changes: cannot be decompressed".to_owned())
+        })?;
+        postcard::from_bytes(&encoded).map_err(|error| malformed(&error))
+    }
+}
+
 fn malformed(error: &postcard::Error) -> PeerError {
     PeerError::Malformed(format!("packed view: {error}"))
 }
--- a/crates/replica/src/driver.rs
+++ b/crates/replica/src/driver.rs
@@ -1,6 +1,6 @@
 //! The thread that feeds inputs to the consensus core and executes the effects that it returns.
 //!
-//! All queued inputs are processed as one batch, so that one disk sync covers them all.
+//! Queued inputs are processed in batches, so that one disk sync covers many of them.
 
 mod effects;
 mod reads;
@@ -9,19 +9,21 @@
 mod snapshots;
 
 use crate::{
-    ReplicaHandle, ReplicaStatus,
+    KnownLeader, MemberList, ReplicaHandle, ReplicaStatus,
     entry_leases::EntryLeases,
+    input_queue::{InputClass, InputQueue, InputSender, WeakInputSender},
     server_leases::ServerLeases,
     store::{ReplicaStore, StoreError},
+    transfer_cache::TransferCache,
 };
 use consensus::{
     Consensus, ConsensusError, CoreSettings, Effects, LeaderHint, LogIndex, Member,
-    MembershipChange, ReadToken, ReadyRead, ReplicaId, RestoredState, Term,
+    MembershipChange, MembershipError, ReadToken, ReadyRead, ReplicaId, RestoredState, Term,
 };
 use parking_lot::RwLock;
 use peer::{
-    ConsensusMessage, FreshnessAnswer, FreshnessRequest, PackedView, PeerLink, PeerTarget,
-    ReadIndexRequest, SubmitAnswer,
+    ConsensusMessage, FreshnessAnswer, FreshnessRequest, PeerLink, PeerTarget, ReadIndexRequest,
+    SubmitAnswer,
 };
 use reads::ParkedFreshness;
 use relays::RelayQueue;
@@ -32,24 +34,21 @@
 use slog::{info, warn};
 use snapshots::decode_state;
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, HashMap, VecDeque},
     net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
 };
 use tokio::{
     runtime::Handle,
-    sync::{mpsc, oneshot},
+    sync::{oneshot, watch},
 };
 use types::{
-    ClusterState, Command, DomainName, HostName, LogTime, ServerIncarnation, ServerName,
-    SourceText, ViewVersion,
+    ClusterState, Command, DomainName, HostName, LogTime, ServerIncarnation, ServerName, SourceText,
 };
 
-/// Capacity of the thread's input queue.
-const QUEUE_LIMIT: usize = 16_384;
-/// Maximum number of inputs in a batch.
-const BATCH_LIMIT: usize = 4_096;
+/// Maximum number of membership changes that wait for the one in progress.
+const MAX_WAITING_CHANGES: usize = 64;
 /// Tick period of the consensus core.
 const TICK_PERIOD: Duration = Duration::from_millis(50);
 /// How long a stopping leader waits for the leadership transfer to complete.
@@ -95,11 +94,29 @@
     /// The leader's answer to this replica's read index request; `None` if the request failed.
     ReadIndexAnswer(Option<LogIndex>),
     ServersSeen(Vec<(ServerName, ServerIncarnation)>),
+    Members(oneshot::Sender<MemberList>),
     Bootstrap(Vec<Member>, oneshot::Sender<Result<(), String>>),
     Status(oneshot::Sender<ReplicaStatus>),
     Stop(oneshot::Sender<()>),
 }
 
+impl ReplicaInput {
+    pub(crate) fn class(&self) -> InputClass {
+        match self {
+            Self::Tick(_) | Self::Message(_) | Self::Stop(_) => InputClass::Consensus,
+            Self::Submit(..)
+            | Self::ChangeMembership(..)
+            | Self::Bootstrap(..)
+            | Self::Members(_)
+            | Self::Status(_) => InputClass::Order,
+            Self::Freshness(..) | Self::ReadIndex(..) | Self::ReadIndexAnswer(_) => {
+                InputClass::Read
+            }
+            Self::ServersSeen(_) => InputClass::Renewal,
+        }
+    }
+}
+
 struct PendingCommand {
     term: Term,
     reply: oneshot::Sender<SubmitAnswer>,
@@ -120,15 +137,18 @@
     routing_source: Arc<RwLock<SourceText>>,
     pending_commands: BTreeMap<LogIndex, PendingCommand>,
     pending_freshness: HashMap<ReadToken, PendingFreshness>,
+    /// Membership changes that wait until the one in progress is committed.
+    waiting_changes: VecDeque<(MembershipChange, oneshot::Sender<SubmitAnswer>)>,
     pending_index_reads: HashMap<ReadToken, oneshot::Sender<Option<LogIndex>>>,
     relays: RelayQueue,
-    packed_view: Option<(ViewVersion, PackedView)>,
+    transfers: TransferCache,
     ready_reads: Vec<ReadyRead>,
     parked: Vec<ParkedFreshness>,
     next_token: u64,
     entry_leases: EntryLeases,
     server_leases: ServerLeases,
     was_leader: bool,
+    known_leader: watch::Sender<KnownLeader>,
     /// Whether a tick has passed since the last quorum round. One round serves all reads of a tick.
     is_round_due: bool,
     snapshot_bytes: u64,
@@ -150,23 +170,27 @@
     store: Box<dyn ReplicaStore>,
     restored: RestoredState,
 ) -> Result<ReplicaHandle, StoreError> {
-    let (inputs, queue) = mpsc::channel(QUEUE_LIMIT);
+    let (inputs, queue) = InputSender::new(settings.counters.clone());
     let mut ticks = settings.timer.subscribe(TICK_PERIOD);
-    let tick_inputs = inputs.clone();
+    let tick_inputs = inputs.downgrade();
     tokio::spawn(async move {
         while let Some(now) = ticks.tick().await {
-            if tick_inputs.send(ReplicaInput::Tick(now)).await.is_err() {
-                return;
+            match tick_inputs.upgrade() {
+                Some(inputs) => inputs.send(ReplicaInput::Tick(now)),
+                None => return,
             }
         }
     });
     let driver = ReplicaDriver::new(settings, store, restored, inputs.downgrade())?;
     let (view, routing_source) = (driver.view.clone(), driver.routing_source.clone());
-    let handle = ReplicaHandle { inputs, view, routing_source };
+    let leader = driver.known_leader.subscribe();
+    let handle = ReplicaHandle { inputs, view, routing_source, leader };
     let runtime = Handle::current();
     std::thread::spawn(move || {
         let _guard = runtime.enter();
-        driver.run(queue);
+        driver.run(&queue);
+        // Requests that were not processed fail, as do later ones.
+        queue.clear();
     });
     Ok(handle)
 }
@@ -176,7 +200,7 @@
         settings: ReplicaSettings,
         store: Box<dyn ReplicaStore>,
         restored: RestoredState,
-        inputs: mpsc::WeakSender<ReplicaInput>,
+        inputs: WeakInputSender,
     ) -> Result<Self, StoreError> {
         let state = decode_state(restored.image.as_ref())?;
         let applied = restored.image.as_ref().map_or(LogIndex(0), |image| image.index);
@@ -194,15 +218,17 @@
             routing_source,
             pending_commands: BTreeMap::new(),
             pending_freshness: HashMap::new(),
+            waiting_changes: VecDeque::new(),
             pending_index_reads: HashMap::new(),
             relays: RelayQueue::new(inputs),
-            packed_view: None,
+            transfers: TransferCache::default(),
             ready_reads: Vec::new(),
             parked: Vec::new(),
             next_token: 0,
             entry_leases: EntryLeases::new(Instant::now()),
             server_leases: ServerLeases::new(Instant::now()),
             was_leader: false,
+            known_leader: watch::Sender::new(KnownLeader::Unknown),
             is_round_due: false,
             snapshot_bytes,
             sender_targets: HashMap::new(),
@@ -211,15 +237,9 @@
         })
     }
 
-    fn run(mut self, mut queue: mpsc::Receiver<ReplicaInput>) {
-        while let Some(input) = queue.blocking_recv() {
-            self.handle_input(input);
-            for _ in 1..BATCH_LIMIT {
-                let Ok(input) = queue.try_recv() else {
-                    break;
-                };
-                self.handle_input(input);
-            }
+    fn run(mut self, queue: &InputQueue) {
+        while let Some(batch) = queue.take_batch() {
+            batch.into_iter().for_each(|input| self.handle_input(input));
             self.process_effects();
             if self.try_finish_stop() {
                 return;
@@ -245,6 +265,7 @@
             ReplicaInput::ServersSeen(servers) => {
                 self.server_leases.observe(servers, Instant::now());
             }
+            ReplicaInput::Members(reply) => send_reply(reply, self.member_list()),
             ReplicaInput::Bootstrap(members, reply) => send_reply(reply, self.bootstrap(members)),
             ReplicaInput::Status(reply) => send_reply(reply, self.status()),
             ReplicaInput::Stop(reply) => self.begin_stop(reply),
@@ -265,6 +286,7 @@
             ReplicaInput::Freshness(_, reply) => {
                 send_reply(reply, FreshnessAnswer::NotLeader(None));
             }
+            ReplicaInput::Members(reply) => send_reply(reply, self.member_list()),
             ReplicaInput::Bootstrap(_, reply) => send_reply(reply, Err(reason)),
             ReplicaInput::Status(reply) => send_reply(reply, self.status()),
             ReplicaInput::Stop(reply) => self.stopping = Some((Instant::now(), reply)),
@@ -307,10 +329,27 @@
         let result = self.core.change_membership(LogTime(wall_clock_ms()), change);
         match result {
             Ok(_) => send_reply(reply, SubmitAnswer::Accepted),
+            Err(ConsensusError::Membership(MembershipError::ChangeInProgress))
+                if self.waiting_changes.len() < MAX_WAITING_CHANGES =>
+            {
+                self.waiting_changes.push_back((change.clone(), reply));
+            }
             Err(error) => send_reply(reply, self.refusal(error)),
         }
     }
 
+    /// Makes the first of the waiting membership changes that is possible now.
+    fn resume_waiting_changes(&mut self) {
+        while !self.core.is_membership_change_in_progress()
+            && let Some((change, reply)) = self.waiting_changes.pop_front()
+        {
+            // The requester may have given up and sent the change again.
+            if !reply.is_closed() {
+                self.change_membership(&change, reply);
+            }
+        }
+    }
+
     fn refusal(&self, error: ConsensusError) -> SubmitAnswer {
         match error {
             ConsensusError::NotLeader(hint) => SubmitAnswer::NotLeader(self.leader_address(hint)),
@@ -348,8 +387,18 @@
         self.core.step(message.envelope);
     }
 
-    /// Reacts to a change of this replica's leadership.
+    /// Reacts to a change of this replica's leadership, and publishes the known leader.
     fn update_leadership(&mut self) {
+        let known_leader = match self.core.leader() {
+            LeaderHint(None) => KnownLeader::Unknown,
+            LeaderHint(Some(id)) if id == self.settings.identity => KnownLeader::Local,
+            hint => self.leader_address(hint).map_or(KnownLeader::Unknown, KnownLeader::Remote),
+        };
+        self.known_leader.send_if_modified(|current| {
+            let is_changed = *current != known_leader;
+            *current = known_leader;
+            is_changed
+        });
         let is_leader = self.core.is_leader();
         if is_leader == self.was_leader {
             return;
@@ -375,6 +424,9 @@
         for pending in std::mem::take(&mut self.pending_commands).into_values() {
             send_reply(pending.reply, SubmitAnswer::Unknown);
         }
+        for (_, reply) in std::mem::take(&mut self.waiting_changes) {
+            send_reply(reply, SubmitAnswer::NotLeader(None));
+        }
         for pending in std::mem::take(&mut self.pending_freshness).into_values() {
             send_reply(pending.reply, FreshnessAnswer::NotLeader(None));
         }
--- a/crates/replica/src/driver/effects.rs
+++ b/crates/replica/src/driver/effects.rs
@@ -23,6 +23,7 @@
                 return;
             }
             self.update_leadership();
+            self.resume_waiting_changes();
             if !self.resume_parked() {
                 break;
             }
--- a/crates/replica/src/driver/reads.rs
+++ b/crates/replica/src/driver/reads.rs
@@ -3,18 +3,11 @@
 use super::{PendingFreshness, ReplicaDriver, send_reply};
 use crate::entry_leases::EntryLeases;
 use consensus::{LeaderHint, ReadToken};
-use peer::{
-    FreshnessAnswer, FreshnessGrant, FreshnessRequest, PackedView, ViewTransfer, replicas_digest,
-};
+use peer::{FreshnessAnswer, FreshnessGrant, FreshnessRequest, ViewTransfer, replicas_digest};
 use runtime::ReplicaAddress;
 use slog::warn;
 use std::time::Instant;
 use tokio::sync::oneshot;
-use types::{ViewUpdate, ViewVersion};
-
-/// Maximum number of changes sent along with a cached packed view. Beyond it, the view is packed
-/// again.
-const MAX_PACKED_LAG: usize = 256;
 
 /// A request that arrived while no leader was known.
 pub(super) struct ParkedFreshness {
@@ -67,7 +60,11 @@
 
     /// Answers with the changes that the entry's view lacks.
     pub(super) fn send_grant(&mut self, pending: PendingFreshness) {
-        let update = self.transfer_since(pending.request.version);
+        let version = pending.request.version;
+        let update = self.transfers.update_since(&self.state, version).unwrap_or_else(|error| {
+            warn!(self.settings.logger, "failed to pack a view update"; "error" => %error);
+            ViewTransfer::Plain(self.state.update_since(version))
+        });
         let mut replicas = self.replica_addresses();
         let digest = replicas_digest(replicas.iter().map(|replica| replica.address));
         if digest == pending.request.known_replicas {
@@ -78,31 +75,6 @@
         send_reply(pending.reply, FreshnessAnswer::Granted(grant));
     }
 
-    /// Returns the update from `version` to the current view. Packed views are cached, so that
-    /// entries that need a whole view within [`MAX_PACKED_LAG`] changes share one.
-    fn transfer_since(&mut self, version: ViewVersion) -> ViewTransfer {
-        if let Some(changes) = self.state.changes_since(version) {
-            return ViewTransfer::Plain(ViewUpdate::Changes(changes));
-        }
-        if let Some((since, packed)) = &self.packed_view
-            && let Some(changes) = self.state.changes_since(*since)
-            && changes.len() <= MAX_PACKED_LAG
-        {
-            return ViewTransfer::Packed(packed.clone(), changes);
-        }
-        let view = self.state.view();
-        match PackedView::pack(view) {
-            Ok(packed) => {
-                self.packed_view = Some((view.version, packed.clone()));
-                ViewTransfer::Packed(packed, Vec::new())
-            }
-            Err(error) => {
-                warn!(self.settings.logger, "failed to compress the view"; "error" => %error);
-                ViewTransfer::Plain(ViewUpdate::Whole(Box::new(view.clone())))
-            }
-        }
-    }
-
     pub(super) fn fail_read(&mut self, token: ReadToken) {
         if let Some(reply) = self.pending_index_reads.remove(&token) {
             send_reply(reply, None);
--- a/crates/replica/src/driver/relays.rs
+++ b/crates/replica/src/driver/relays.rs
@@ -6,14 +6,14 @@
 //! need not cross failure domains.
 
 use super::{PendingFreshness, ReplicaDriver, ReplicaInput, send_reply};
-use crate::entry_leases::EntryLeases;
+use crate::{entry_leases::EntryLeases, input_queue::WeakInputSender};
 use consensus::{LogIndex, ReadToken};
 use peer::{PeerAnswer, PeerRequest, PeerTarget, ReadIndexRequest};
 use std::{
     collections::HashMap,
     time::{Duration, Instant},
 };
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::oneshot;
 use types::{EntryName, ViewVersion};
 
 /// Timeout of a read index request. Entries wait less than this for a follower before they ask the
@@ -28,7 +28,7 @@
 
 /// Entry requests that this follower serves with a read index from the leader.
 pub(super) struct RelayQueue {
-    inputs: mpsc::WeakSender<ReplicaInput>,
+    inputs: WeakInputSender,
     /// Requests that arrived after the read index request in flight was sent.
     queued: Vec<PendingFreshness>,
     /// Requests covered by the read index request in flight.
@@ -42,7 +42,7 @@
 }
 
 impl RelayQueue {
-    pub(super) fn new(inputs: mpsc::WeakSender<ReplicaInput>) -> Self {
+    pub(super) fn new(inputs: WeakInputSender) -> Self {
         Self {
             inputs,
             queued: Vec::new(),
@@ -104,8 +104,7 @@
                 // The entries are redirected to the leader.
                 _ => None,
             };
-            // Fails only if the replica has stopped.
-            let _ = inputs.send(ReplicaInput::ReadIndexAnswer(index)).await;
+            inputs.send(ReplicaInput::ReadIndexAnswer(index));
         });
     }
 
--- a/crates/replica/src/entry_leases.rs
+++ b/crates/replica/src/entry_leases.rs
@@ -49,9 +49,10 @@
         if known == Some(entry) {
             return Vec::new();
         }
+        let owns_shards = entry.owns_shards || known.is_some_and(|info| info.owns_shards);
         let is_serving_change = known.is_none_or(|info| info.serving != entry.serving);
         let mut commands = vec![Command::PutEntry(entry.clone())];
-        if is_serving_change {
+        if owns_shards && is_serving_change {
             commands.push(Command::BalanceRanges);
         }
         commands
@@ -65,12 +66,11 @@
                 contact.map_or(self.started, |contact| contact.last_seen.max(self.started));
             now.saturating_duration_since(last_seen) > ENTRY_LEASE
         };
-        let mut commands: Vec<Command> = view
-            .entries()
-            .filter(is_expired)
-            .map(|entry| Command::RemoveEntry(entry.name.clone(), entry.incarnation))
-            .collect();
-        if !commands.is_empty() {
+        let expired: Vec<&EntryInfo> = view.entries().filter(is_expired).collect();
+        let remove =
+            |entry: &&EntryInfo| Command::RemoveEntry(entry.name.clone(), entry.incarnation);
+        let mut commands: Vec<Command> = expired.iter().map(remove).collect();
+        if expired.iter().any(|entry| entry.owns_shards) {
             commands.push(Command::BalanceRanges);
         }
         commands
--- a/crates/replica/src/handle.rs
+++ b/crates/replica/src/handle.rs
@@ -1,25 +1,38 @@
 //! Handle through which other parts of the process send requests to the replica.
 
-use crate::{ReplicaStatus, driver::ReplicaInput};
+use crate::{MemberList, ReplicaStatus, driver::ReplicaInput, input_queue::InputSender};
 use consensus::{Member, MembershipChange};
 use parking_lot::RwLock;
 use peer::{FreshnessAnswer, FreshnessRequest, PeerAnswer, PeerRequest, SubmitAnswer};
+use runtime::ReplicaAddress;
 use std::sync::Arc;
 use thiserror::Error;
-use tokio::sync::{mpsc, oneshot};
-use types::{ClusterView, Command, HostName, RoutingVersion, SourceText};
+use tokio::sync::{oneshot, watch};
+use types::{ClusterView, Command, HostName, ServerIncarnation, ServerName, SourceText};
 
-/// The replica's thread has ended.
+/// The replica's thread has ended, or it is overloaded and did not process the request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
-#[error("the replica has stopped")]
+#[error("the replica has stopped or is overloaded")]
 pub struct ReplicaStopped;
 
+/// The leader of the group, as known to one replica.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum KnownLeader {
+    /// No leader is known.
+    Unknown,
+    /// The replica itself leads.
+    Local,
+    /// Another replica leads.
+    Remote(ReplicaAddress),
+}
+
 /// Sends inputs to the replica of this process.
 #[derive(Clone)]
 pub struct ReplicaHandle {
-    pub(crate) inputs: mpsc::Sender<ReplicaInput>,
+    pub(crate) inputs: InputSender,
     pub(crate) view: Arc<RwLock<Arc<ClusterView>>>,
     pub(crate) routing_source: Arc<RwLock<SourceText>>,
+    pub(crate) leader: watch::Receiver<KnownLeader>,
 }
 
 impl ReplicaHandle {
@@ -61,16 +74,33 @@
         self.call(ReplicaInput::Status).await
     }
 
+    /// Returns the members of the group.
+    pub async fn members(&self) -> Result<MemberList, ReplicaStopped> {
+        self.call(ReplicaInput::Members).await
+    }
+
+    /// Returns a receiver of the known leader and its changes.
+    pub fn leader(&self) -> watch::Receiver<KnownLeader> {
+        self.leader.clone()
+    }
+
+    /// Records that servers have announced themselves, which renews their leases if this replica is
+    /// the leader.
+    pub fn record_servers_seen(&self, servers: Vec<(ServerName, ServerIncarnation)>) {
+        self.inputs.send(ReplicaInput::ServersSeen(servers));
+    }
+
     /// Returns the view as of the last applied log entry, which may be stale.
     pub fn view(&self) -> Arc<ClusterView> {
         self.view.read().clone()
     }
 
-    /// Returns the source text of the routing document if `version` is the last applied one.
-    pub fn routing_source(&self, version: RoutingVersion) -> Option<SourceText> {
+    /// Returns the source text of the routing document in force as of the last applied log entry, or
+    /// `None` if there is none.
+    pub fn routing_source(&self) -> Option<SourceText> {
         // Writers update the view while they hold the lock on the text, so both are consistent.
         let source = self.routing_source.read();
-        (self.view.read().routing_version() == version).then(|| source.clone())
+        self.view.read().routing().is_some().then(|| source.clone())
     }
 
     /// Transfers leadership, if this replica is the leader, and stops its thread.
@@ -84,12 +114,11 @@
         match request {
             PeerRequest::Consensus(message) => {
                 // Consensus resends messages that a stopped or overloaded replica loses.
-                let _ = self.inputs.send(ReplicaInput::Message(message)).await;
+                self.inputs.send(ReplicaInput::Message(message));
                 Some(PeerAnswer::Done)
             }
             PeerRequest::ServersSeen(servers) => {
-                // Fails if the replica has stopped; the report is repeated to the next leader.
-                let _ = self.inputs.send(ReplicaInput::ServersSeen(servers)).await;
+                self.record_servers_seen(servers);
                 Some(PeerAnswer::Done)
             }
             PeerRequest::Freshness(request) => {
@@ -116,13 +145,25 @@
         }
     }
 
-    /// Sends an input to the replica thread and waits for the reply.
+    /// Handles a command or membership change of this process. Returns `None` for other requests.
+    pub async fn handle_own(&self, request: PeerRequest) -> Option<PeerAnswer> {
+        match request {
+            PeerRequest::Submit(command) => Some(PeerAnswer::Submit(self.submit(command).await)),
+            PeerRequest::ChangeMembership(change) => {
+                Some(PeerAnswer::Submit(self.change_membership(change).await))
+            }
+            _ => None,
+        }
+    }
+
+    /// Sends an input to the replica thread and waits for the reply. Fails if the replica has stopped
+    /// or is overloaded.
     async fn call<T>(
         &self,
         input: impl FnOnce(oneshot::Sender<T>) -> ReplicaInput,
     ) -> Result<T, ReplicaStopped> {
         let (reply, answer) = oneshot::channel();
-        self.inputs.send(input(reply)).await.map_err(|_| ReplicaStopped)?;
+        self.inputs.send(input(reply));
         answer.await.map_err(|_| ReplicaStopped)
     }
 }
--- a/crates/replica/src/lib.rs
+++ b/crates/replica/src/lib.rs
@@ -5,11 +5,14 @@
 mod driver;
 mod entry_leases;
 mod handle;
+mod input_queue;
 mod server_leases;
 mod status;
 mod store;
+mod transfer_cache;
 
 pub use driver::{LEADER_WAIT, ReplicaSettings, start_replica};
-pub use handle::{ReplicaHandle, ReplicaStopped};
-pub use status::{EntryStatus, MemberStatus, ReplicaStatus};
+pub use handle::{KnownLeader, ReplicaHandle, ReplicaStopped};
+pub use status::{EntryStatus, MemberList, MemberStatus, ReplicaStatus};
 pub use store::{FileStore, LogBatch, LogFile, ReplicaStore, StoreError};
+pub use transfer_cache::TransferCache;
--- a/crates/replica/src/status.rs
+++ b/crates/replica/src/status.rs
@@ -32,6 +32,22 @@
     pub entries: Vec<EntryStatus>,
 }
 
+/// The members of the group, as known to one replica. Unlike [`ReplicaStatus`], small enough to be
+/// requested several times a second.
+#[derive(Debug, Clone)]
+pub struct MemberList {
+    /// Identity stored in the replica's data folder.
+    pub id: ReplicaId,
+    /// Whether the replica has a membership; false with an empty data folder.
+    pub is_initialised: bool,
+    /// Whether the replica is the leader.
+    pub is_leader: bool,
+    /// Whether the replica knows the current leader.
+    pub has_leader: bool,
+    /// All members of the group. Only the leader reports their lag and activity.
+    pub members: Vec<MemberStatus>,
+}
+
 /// Status of a member, as tracked by the leader.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct MemberStatus {
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -3,12 +3,14 @@
 
 mod logging;
 mod metrics;
+mod priority_queue;
 mod settings;
 mod timeline;
 mod timer;
 
 pub use logging::{LogFormat, root_logger};
 pub use metrics::{DecisionCounters, MetricsRegistry};
+pub use priority_queue::{ClassSettings, PriorityQueue, QueueBatch};
 pub use prometheus_client::metrics::histogram::Histogram;
 pub use settings::{ProcessRole, ProcessSettings, ReplicaAddress, SettingsError};
 pub use slog::Logger;
--- a/crates/testkit/examples/bench_replicas.rs
+++ b/crates/testkit/examples/bench_replicas.rs
@@ -84,6 +84,7 @@
             id: *id,
             host: format!("host-{number}").parse().expect("valid"),
             address: SocketAddr::from(([127, 0, 0, 1], number)),
+            domain: None,
             role: MemberRole::Voter,
         })
         .collect();
@@ -135,6 +136,7 @@
                 id,
                 host: "host-1".parse().expect("valid"),
                 address: SocketAddr::from(([127, 0, 0, 1], 1)),
+                domain: None,
                 role: MemberRole::Voter,
             };
             handle.bootstrap(vec![member]).await.expect("bootstrap succeeds");
--- a/crates/testkit/src/system.rs
+++ b/crates/testkit/src/system.rs
@@ -111,6 +111,7 @@
                 id: page.replica.expect("replica").id,
                 host: page.process,
                 address: page.peer_address,
+                domain: None,
                 role: consensus::MemberRole::Voter,
             });
         }
--- a/crates/types/src/state.rs
+++ b/crates/types/src/state.rs
@@ -193,6 +193,18 @@
         Some(self.recent.iter().skip(skipped).cloned().collect())
     }
 
+    /// Returns the version that the oldest stored change follows.
+    pub fn oldest_change(&self) -> ViewVersion {
+        ViewVersion(self.view.version.0 - self.recent.len() as u64)
+    }
+
+    /// Returns `count` changes that follow `version`, or `None` if not all of them are stored.
+    pub fn changes_between(&self, version: ViewVersion, count: usize) -> Option<Vec<ViewChange>> {
+        let skipped = version.0.checked_sub(self.oldest_change().0)? as usize;
+        let is_stored = skipped + count <= self.recent.len();
+        is_stored.then(|| self.recent.iter().skip(skipped).take(count).cloned().collect())
+    }
+
     /// Applies the next command of the log.
     pub fn apply(&mut self, time: LogTime, command: &Command) -> CommandAnswer {
         self.time = self.time.max(time);
