gateway: obey leaving and shedding servers; stream large answers and cut endless ones

A server that states in any answer that it is leaving, or refuses with a time for which it wants no requests, gets none from this entry: no request and no probe. policy::ServerHold decides (pure, steady clock, any length); platform decodes `Server-Leaving` and `Retry-After`. The hold belongs to one incarnation, holds for all requests at once (checked again right before sending) and survives views that drop and list the server again. While all servers are held, requests are refused at once, with the time at which the first accepts requests again. Bodies above 64 KiB are streamed to the caller instead of held; a body that breaks off, exceeds 64 MiB or is not complete by the deadline ends the caller's connection before its end. Smaller ones are held as before, so that the request may be repeated. Heads are bounded by 64 KiB, bodies of probes by 4 KiB.

Ruled out: obeying a hold for probes only or for requests only (the users count both); a cap on the stated time (a server that states years gets nothing until it starts again).

Tests: policy/tests/server_hold.rs (table), platform/tests/adapter.rs (13 spellings of each field), gateway/tests/server_signals.rs (mark on an answer and on a probe, late announcements, hold, all servers held), gateway/tests/endless_answers.rs (13 ways x full speed and byte by byte x idempotent or not; large answers) and endless_memory.rs. The test harness binds another port if the chosen one was taken meanwhile ("address already in use", seen once).

--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -1,5 +1,6 @@
 //! Responses to callers.
 
+use crate::answer_body::AnswerBody;
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, StatusCode, header};
 use std::time::Duration;
@@ -15,31 +16,31 @@
     header::UPGRADE,
 ];
 
-/// A complete response, from a server or from the entry itself.
-#[derive(Debug, Clone)]
-pub struct GatewayAnswer {
+/// A response, from a server or from the entry itself.
+#[derive(Debug)]
+pub(crate) struct GatewayAnswer {
     /// Status code.
-    pub status: StatusCode,
+    pub(crate) status: StatusCode,
     /// End-to-end header fields.
-    pub headers: HeaderMap,
-    /// Complete body.
-    pub body: Bytes,
+    pub(crate) headers: HeaderMap,
+    /// Body.
+    pub(crate) body: AnswerBody,
     /// How long a refused caller should wait before it retries.
-    pub retry_after: Option<Duration>,
+    pub(crate) retry_after: Option<Duration>,
     /// Whether the caller's connection is closed after this response.
-    pub is_last: bool,
+    pub(crate) is_last: bool,
 }
 
 impl GatewayAnswer {
     /// Returns a response from the entry itself, with `reason` as its body.
-    pub fn own(status: StatusCode, reason: &str) -> Self {
-        let body = Bytes::from(format!("{reason}\n"));
+    pub(crate) fn own(status: StatusCode, reason: &str) -> Self {
+        let body = AnswerBody::Whole(Bytes::from(format!("{reason}\n")), None);
         let headers = HeaderMap::new();
         Self { status, headers, body, retry_after: None, is_last: false }
     }
 
     /// Returns a 503 response to a request that has not run and will not run.
-    pub fn refused(reason: &str, retry_after: Duration) -> Self {
+    pub(crate) fn refused(reason: &str, retry_after: Duration) -> Self {
         let answer = Self::own(StatusCode::SERVICE_UNAVAILABLE, reason);
         Self { retry_after: Some(retry_after), ..answer }
     }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,11 +1,13 @@
 //! A single attempt: sends a request to one server and classifies the result.
 
 use crate::{
-    ForwardMetadata, GatewayAnswer, WireDialect,
+    AnswerMetadata, ForwardMetadata, GatewayAnswer, WireDialect,
     answer::remove_hop_headers,
-    body::BodyMemory,
+    answer_body::{AnswerBody, AnswerStream},
+    body::{BodyMemory, BodyStart},
     placer::ProbedServer,
-    server_connection::{ExchangeError, ServerAnswer},
+    server_connection::{ExchangeError, ServerAnswer, ServerConnection},
+    servers::BackendServer,
 };
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Method, Request, StatusCode, Uri, header};
@@ -13,6 +15,10 @@
 use std::{sync::Arc, time::Instant};
 use tokio::time::timeout_at;
 
+/// Size above which a body is streamed instead of held, in bytes. A response whose body breaks off
+/// before that is not forwarded, so that the request may be repeated.
+const MAX_HELD_BODY_BYTES: usize = 64 * 1024;
+
 /// A request in the form in which it is sent to servers.
 #[derive(Debug, Clone)]
 pub(crate) struct PreparedRequest {
@@ -77,22 +83,25 @@
     *message.method_mut() = request.method.clone();
     *message.uri_mut() = request.target.clone();
     *message.headers_mut() = headers;
-    let exchange_result =
-        timeout_at(request.deadline.into(), connection.exchange(message, memory)).await;
+    let exchange = connection.exchange(message, MAX_HELD_BODY_BYTES, memory);
+    let exchange_result = timeout_at(request.deadline.into(), exchange).await;
     let now = Instant::now();
     let result = match exchange_result {
         Err(_) => AttemptResult::TimedOut,
         Ok(Err(ExchangeError::NotSent(reason))) => AttemptResult::NotRun(reason),
         Ok(Err(ExchangeError::MaybeSent(reason))) => AttemptResult::Unknown(reason),
         Ok(Ok(answer)) => {
-            let is_keep_alive = answer.is_keep_alive;
-            let result = classify_answer(request, answer, dialect);
-            if is_keep_alive
-                && matches!(result, AttemptResult::Answered(_) | AttemptResult::Failed(_))
-            {
-                server.put_connection(connection);
+            let metadata = dialect.answer_metadata(&answer.headers);
+            if is_from_expected_server(request, &answer, &metadata) {
+                server.record_signals(now, metadata.signals(answer.status));
+            }
+            match classify_answer(request, &answer, &metadata) {
+                AnswerClass::NotRun(reason) => AttemptResult::NotRun(reason),
+                AnswerClass::Unknown(reason) => AttemptResult::Unknown(reason),
+                AnswerClass::Forwarded => {
+                    forward_answer(request, answer, server.clone(), connection)
+                }
             }
-            result
         }
     };
     match &result {
@@ -105,30 +114,80 @@
     result
 }
 
-/// Determines the result of an attempt from the complete response.
+/// Returns whether a response is from the server that the request was sent to. Another server at the
+/// same address answers with 421, and a late response may belong to another request.
+fn is_from_expected_server(
+    request: &PreparedRequest,
+    answer: &ServerAnswer,
+    metadata: &AnswerMetadata,
+) -> bool {
+    let is_other_request = metadata.request_id.is_some() && metadata.request_id != request.id;
+    answer.status != StatusCode::MISDIRECTED_REQUEST && !is_other_request
+}
+
+/// The class of a response.
+enum AnswerClass {
+    /// The server did not run the request.
+    NotRun(String),
+    /// The server may have run the request, but this is not a response that can be forwarded.
+    Unknown(String),
+    /// The server's own response to the request.
+    Forwarded,
+}
+
+/// Classifies a response by its head.
 fn classify_answer(
     request: &PreparedRequest,
-    answer: ServerAnswer,
-    dialect: &Arc<dyn WireDialect>,
-) -> AttemptResult {
-    let metadata = dialect.answer_metadata(&answer.headers);
+    answer: &ServerAnswer,
+    metadata: &AnswerMetadata,
+) -> AnswerClass {
+    let unknown = |reason: &str| AnswerClass::Unknown(reason.to_owned());
     if request.id.is_some() && metadata.request_id.is_some() && metadata.request_id != request.id {
-        return AttemptResult::Unknown("the answer is to another request".to_owned());
+        return unknown("the answer is to another request");
     }
     if metadata.is_not_run || answer.status == StatusCode::MISDIRECTED_REQUEST {
-        return AttemptResult::NotRun(format!("refused with {}", answer.status.as_u16()));
+        return AnswerClass::NotRun(format!("refused with {}", answer.status.as_u16()));
     }
     if request.id.is_some() && metadata.request_id.is_none() {
-        return AttemptResult::Unknown("the answer names no request".to_owned());
+        return unknown("the answer names no request");
     }
     let is_success = answer.status.is_success();
     if answer.headers.contains_key(header::CONTENT_ENCODING) || (is_success && !metadata.is_signed)
     {
-        return AttemptResult::Unknown("the answer is not the server's own".to_owned());
+        return unknown("the answer is not the server's own");
     }
-    let ServerAnswer { status, mut headers, body, .. } = answer;
+    AnswerClass::Forwarded
+}
+
+/// Returns the response for the caller. If its body is complete, the connection returns to the pool;
+/// otherwise the response takes the connection.
+fn forward_answer(
+    request: &PreparedRequest,
+    answer: ServerAnswer,
+    server: Arc<BackendServer>,
+    connection: ServerConnection,
+) -> AttemptResult {
+    let ServerAnswer { status, mut headers, length, body, is_keep_alive } = answer;
     remove_hop_headers(&mut headers);
     headers.remove(header::CONTENT_LENGTH);
+    let BodyStart { bytes, reservation, rest } = body;
+    let body = match rest {
+        None => {
+            if is_keep_alive {
+                server.put_connection(connection);
+            }
+            AnswerBody::Whole(bytes, Some(reservation))
+        }
+        Some(rest) => AnswerBody::Stream(Box::new(AnswerStream::new(
+            bytes,
+            rest,
+            length,
+            request.deadline,
+            server,
+            connection,
+            is_keep_alive,
+        ))),
+    };
     let forwarded = GatewayAnswer { status, headers, body, retry_after: None, is_last: false };
     if status.is_server_error() {
         AttemptResult::Failed(forwarded)
--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -1,8 +1,8 @@
-//! Reads complete bodies within limits on their size and on the memory of the process.
+//! Reads bodies within limits on their size and on the memory of the process.
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
 use std::sync::{
     Arc,
     atomic::{AtomicU64, Ordering},
@@ -12,9 +12,6 @@
 /// The reason why a body was not read.
 #[derive(Debug, Error)]
 pub(crate) enum BodyError {
-    /// The body exceeds this limit, in bytes.
-    #[error("the body has more than {0} bytes")]
-    TooLarge(u64),
     /// The limit on the memory for all bodies is reached.
     #[error("no memory for the body")]
     NoMemory,
@@ -64,26 +61,31 @@
     }
 }
 
-/// Reads a complete body of at most `limit` bytes.
-pub(crate) async fn read_body(
+/// The start of a body.
+pub(crate) struct BodyStart {
+    pub(crate) bytes: Bytes,
+    /// The memory that the bytes occupy.
+    pub(crate) reservation: MemoryReservation,
+    /// The rest of the body; `None` if the body is complete.
+    pub(crate) rest: Option<Incoming>,
+}
+
+/// Reads a body until its end, or until more than `limit` bytes are read.
+pub(crate) async fn read_start(
     mut body: Incoming,
-    limit: u64,
+    limit: usize,
     memory: &Arc<BodyMemory>,
-) -> Result<(Bytes, MemoryReservation), BodyError> {
+) -> Result<BodyStart, BodyError> {
     let mut reservation = MemoryReservation::new(memory);
     let mut buffer = BytesMut::new();
-    if body.size_hint().lower() > limit {
-        return Err(BodyError::TooLarge(limit));
-    }
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(BodyError::BrokenOff)?;
-        if let Ok(data) = frame.into_data() {
+    while buffer.len() <= limit {
+        let Some(frame) = body.frame().await else {
+            return Ok(BodyStart { bytes: buffer.freeze(), reservation, rest: None });
+        };
+        if let Ok(data) = frame.map_err(BodyError::BrokenOff)?.into_data() {
             reservation.grow(data.len() as u64)?;
             buffer.extend_from_slice(&data);
-            if buffer.len() as u64 > limit {
-                return Err(BodyError::TooLarge(limit));
-            }
         }
     }
-    Ok((buffer.freeze(), reservation))
+    Ok(BodyStart { bytes: buffer.freeze(), reservation, rest: Some(body) })
 }
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -2,16 +2,21 @@
 
 use crate::{
     GatewayAnswer,
+    answer_body::{AnswerBody, AnswerStream},
     body::{BodyError, MemoryReservation},
     call::CallerRequest,
     forwarder::RequestForwarder,
-    http1::{BodyDecoder, CONTINUE_RESPONSE, HeadError, RequestHead, encode_answer, parse_head},
+    http1::{
+        AnswerFraming, BodyDecoder, CONTINUE_RESPONSE, HeadError, LAST_CHUNK, RequestHead,
+        answer_framing, encode_head, encode_part, parse_head,
+    },
     listener::StopStage,
 };
 use bytes::{Bytes, BytesMut};
 use futures_util::{FutureExt, StreamExt, future::BoxFuture, stream::FuturesOrdered};
-use http::{Method, StatusCode};
+use http::{HeaderValue, Method, StatusCode};
 use std::{
+    collections::VecDeque,
     io,
     sync::Arc,
     time::{Duration, Instant},
@@ -20,7 +25,7 @@
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
     sync::watch,
-    time::{sleep_until, timeout},
+    time::{sleep_until, timeout, timeout_at},
 };
 use types::CallerLimits;
 
@@ -40,13 +45,29 @@
     reservation: MemoryReservation,
 }
 
-/// The response to a request, and whether the caller wants to close the connection after it.
-struct FinishedRequest {
-    answer: GatewayAnswer,
+/// What the response to a request must take from it.
+struct RequestTraits {
     method: Method,
+    /// Id for the log.
+    id: Option<HeaderValue>,
+    /// Whether the caller accepts chunked bodies.
+    accepts_chunks: bool,
+    /// Whether the caller wants to close the connection after the response.
     is_last: bool,
 }
 
+/// A complete request, with what its response must take from it.
+struct PendingRequest {
+    request: CallerRequest,
+    traits: RequestTraits,
+}
+
+/// The response to a request.
+struct FinishedRequest {
+    answer: GatewayAnswer,
+    traits: RequestTraits,
+}
+
 /// A caller's connection.
 pub(crate) struct CallerConnection {
     stream: TcpStream,
@@ -55,10 +76,11 @@
     stop: watch::Receiver<StopStage>,
     buffer: BytesMut,
     partial: Option<PartialRequest>,
-    /// A complete request that must wait until the requests before it are answered, and whether the
-    /// caller wants to close the connection after it.
-    deferred: Option<(CallerRequest, bool)>,
+    /// A complete request that must wait until the requests before it are answered.
+    deferred: Option<PendingRequest>,
     running: FuturesOrdered<BoxFuture<'static, FinishedRequest>>,
+    /// Responses that follow the one that is being streamed, in order.
+    finished: VecDeque<FinishedRequest>,
     /// Whether the running request excludes all others.
     is_exclusive: bool,
     /// Whether no more requests are read.
@@ -84,6 +106,7 @@
             partial: None,
             deferred: None,
             running: FuturesOrdered::new(),
+            finished: VecDeque::new(),
             is_exclusive: false,
             is_input_closed: false,
             idle_since: Instant::now(),
@@ -103,6 +126,12 @@
     /// Serves the connection and returns whether this side closes it.
     async fn serve(&mut self) -> io::Result<bool> {
         loop {
+            if let Some(finished) = self.finished.pop_front() {
+                if self.write_answer(finished).await? {
+                    return Ok(true);
+                }
+                continue;
+            }
             self.start_requests().await?;
             let stage = *self.stop.borrow();
             let is_idle = self.running.is_empty();
@@ -164,29 +193,29 @@
             if self.deferred.is_none() {
                 self.deferred = self.next_request().await?;
             }
-            let Some((request, is_last)) = self.deferred.take() else {
+            let Some(pending) = self.deferred.take() else {
                 return Ok(());
             };
-            let may_run_concurrently = self.forwarder.may_run_concurrently(&request);
+            let may_run_concurrently = self.forwarder.may_run_concurrently(&pending.request);
             if !may_run_concurrently && !self.running.is_empty() {
-                self.deferred = Some((request, is_last));
+                self.deferred = Some(pending);
                 return Ok(());
             }
+            let PendingRequest { request, traits } = pending;
             self.is_exclusive = !may_run_concurrently;
-            self.is_input_closed = is_last;
-            let (forwarder, method) = (self.forwarder.clone(), request.method.clone());
+            self.is_input_closed = traits.is_last;
+            let forwarder = self.forwarder.clone();
             let run = async move {
                 let answer = forwarder.forward(request).await;
-                FinishedRequest { answer, method, is_last }
+                FinishedRequest { answer, traits }
             };
             self.running.push_back(run.boxed());
         }
         Ok(())
     }
 
-    /// Takes the next request from the buffer. Also returns whether the caller wants to close the
-    /// connection after it. Returns `None` if the request is not complete or was refused.
-    async fn next_request(&mut self) -> io::Result<Option<(CallerRequest, bool)>> {
+    /// Takes the next request from the buffer. Returns `None` if it is not complete or was refused.
+    async fn next_request(&mut self) -> io::Result<Option<PendingRequest>> {
         if self.partial.is_none() && !self.buffer.is_empty() {
             self.limits = self.forwarder.caller_limits();
             self.read_head().await?;
@@ -215,11 +244,13 @@
         }
         self.request_started = (!self.buffer.is_empty()).then(Instant::now);
         let PartialRequest { head, body, reservation } = partial;
-        let RequestHead { method, target, headers, is_last, .. } = head;
+        let RequestHead { method, target, headers, is_last, accepts_chunks, .. } = head;
+        let id = self.forwarder.dialect.request_metadata(&headers).id;
+        let traits = RequestTraits { method: method.clone(), id, accepts_chunks, is_last };
         let body: Bytes = body.finish();
         let request =
             CallerRequest { method, target, headers, body, reservation, arrived: Instant::now() };
-        Ok(Some((request, is_last)))
+        Ok(Some(PendingRequest { request, traits }))
     }
 
     /// Parses a head from the buffer, and sends `100 Continue` if the caller waits for it.
@@ -256,7 +287,9 @@
     /// Queues a refusal after all earlier responses, and stops reading.
     fn refuse(&mut self, status: StatusCode, reason: &str) {
         let answer = GatewayAnswer { is_last: true, ..GatewayAnswer::own(status, reason) };
-        let refused = FinishedRequest { answer, method: Method::GET, is_last: true };
+        let traits =
+            RequestTraits { method: Method::GET, id: None, accepts_chunks: true, is_last: true };
+        let refused = FinishedRequest { answer, traits };
         self.forwarder.record_refusal(status, reason);
         self.is_input_closed = true;
         self.buffer.clear();
@@ -265,21 +298,84 @@
 
     /// Writes a response. Returns whether the connection closes after it.
     async fn write_answer(&mut self, finished: FinishedRequest) -> io::Result<bool> {
-        let FinishedRequest { mut answer, method, is_last } = finished;
+        let FinishedRequest { mut answer, traits } = finished;
+        let framing = answer_framing(&answer, &traits.method, traits.accepts_chunks);
+        let framing = framing.unwrap_or_else(|| {
+            let reason = "the answer has no length, and HTTP/1.0 has no chunked bodies";
+            answer = GatewayAnswer::own(StatusCode::BAD_GATEWAY, reason);
+            AnswerFraming::Length(answer.body.length().unwrap_or_default())
+        });
         let is_stopping = *self.stop.borrow() > StopStage::Serving;
-        let is_last = is_last || answer.is_last || is_stopping;
+        let is_last = traits.is_last || answer.is_last || is_stopping;
         if let Some(wait) = answer.retry_after {
             self.forwarder.dialect.write_retry_after(&mut answer.headers, wait);
         }
-        let bytes = encode_answer(&answer, &method, is_last);
-        self.stream.write_all(&bytes).await?;
+        let mut bytes = encode_head(&answer, framing, is_last);
+        let is_complete = match answer.body {
+            AnswerBody::Whole(body, _reservation) => {
+                bytes.extend_from_slice(&encode_part(body, framing));
+                self.stream.write_all(&bytes).await?;
+                true
+            }
+            AnswerBody::Stream(body) => {
+                self.stream.write_all(&bytes).await?;
+                self.write_stream(*body, framing, &traits).await?
+            }
+        };
         (self.is_exclusive, self.idle_since) = (false, Instant::now());
-        Ok(is_last)
+        Ok(is_last || !is_complete)
+    }
+
+    /// Writes a streamed body, while the other requests of the connection go on. Returns false if the
+    /// body is not complete: the connection must then be closed, so that the caller notices.
+    async fn write_stream(
+        &mut self,
+        mut body: AnswerStream,
+        framing: AnswerFraming,
+        traits: &RequestTraits,
+    ) -> io::Result<bool> {
+        if framing == AnswerFraming::NoBody {
+            return Ok(true);
+        }
+        let deadline = body.deadline();
+        loop {
+            let next = tokio::select! {
+                next = body.next() => next,
+                Some(finished) = self.running.next(), if !self.running.is_empty() => {
+                    self.finished.push_back(finished);
+                    continue;
+                }
+            };
+            let written = match next {
+                Ok(Some(part)) => {
+                    let part = encode_part(part, framing);
+                    timeout_at(deadline.into(), self.stream.write_all(&part)).await
+                }
+                Ok(None) if framing == AnswerFraming::Chunked => {
+                    self.stream.write_all(LAST_CHUNK).await?;
+                    return Ok(true);
+                }
+                Ok(None) => return Ok(true),
+                Err(error) => {
+                    self.forwarder.record_broken_answer(traits.id.as_ref(), &error.to_string());
+                    return Ok(false);
+                }
+            };
+            match written {
+                Ok(result) => result?,
+                Err(_) => {
+                    let reason = "the caller did not read the body by the deadline";
+                    self.forwarder.record_broken_answer(traits.id.as_ref(), reason);
+                    return Ok(false);
+                }
+            }
+        }
     }
 
     /// Closes this side, and reads until the caller closes or [`LINGER_TIMEOUT`] has passed.
     async fn linger(&mut self) {
         self.running.clear();
+        self.finished.clear();
         if self.stream.shutdown().await.is_err() {
             return;
         }
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -1,7 +1,7 @@
 //! The interface to the header fields that callers and servers use.
 
-use http::{HeaderMap, HeaderValue};
-use policy::ServerLoad;
+use http::{HeaderMap, HeaderValue, StatusCode};
+use policy::{ServerLoad, ServerSignals};
 use std::time::Duration;
 use types::ServerName;
 
@@ -38,6 +38,18 @@
     pub load: Option<ServerLoad>,
     /// Time left until the server is warm; zero if it is warm.
     pub warm_up_left: Option<Duration>,
+    /// Whether the server states that it is leaving.
+    pub is_leaving: bool,
+    /// Time for which the server wants no further requests. Only valid in a refusal.
+    pub retry_after: Option<Duration>,
+}
+
+impl AnswerMetadata {
+    /// Returns what a response with this status says about further requests.
+    pub(crate) fn signals(&self, status: StatusCode) -> ServerSignals {
+        let is_refusal = status == StatusCode::SERVICE_UNAVAILABLE;
+        ServerSignals { is_leaving: self.is_leaving, hold: self.retry_after.filter(|_| is_refusal) }
+    }
 }
 
 /// Defines the names and formats of header fields.
--- a/crates/gateway/src/final_answer.rs
+++ b/crates/gateway/src/final_answer.rs
@@ -44,12 +44,17 @@
             (GatewayAnswer::own(StatusCode::GATEWAY_TIMEOUT, reason), "timed-out")
         }
         Err(error) => {
-            let (reason, outcome) = match error {
-                PlaceError::NoServers => ("the service has no server", "no-servers"),
-                PlaceError::NoneAnswered => ("no server answers", "none-answered"),
-                PlaceError::Full => ("all servers are full", "full"),
+            let (reason, outcome, forecast) = match error {
+                PlaceError::NoServers => ("the service has no server", "no-servers", until_slot),
+                PlaceError::NoneAnswered => ("no server answers", "none-answered", until_slot),
+                PlaceError::Full => ("all servers are full", "full", until_slot),
+                PlaceError::Held(wait) => (
+                    "all servers are leaving or shed load",
+                    "held",
+                    wait.map_or(until_slot, CapacityForecast::After),
+                ),
             };
-            (GatewayAnswer::refused(reason, retry_after(until_slot)), outcome)
+            (GatewayAnswer::refused(reason, retry_after(forecast)), outcome)
         }
     }
 }
--- a/crates/gateway/src/forwarder.rs
+++ b/crates/gateway/src/forwarder.rs
@@ -12,14 +12,14 @@
     service_queue::ServiceQueue,
 };
 use futures_util::future::Either;
-use http::{StatusCode, Uri, header};
+use http::{HeaderValue, StatusCode, Uri, header};
 use parking_lot::{Mutex, RwLock};
 use policy::{
     BudgetLimits, CallerTimeouts, CapacityForecast, ServiceTime, SharedBudget, StartupWait,
     retry_delay,
 };
 use runtime::{DecisionCounters, Histogram, Logger};
-use slog::info;
+use slog::{info, warn};
 use std::{
     collections::HashMap,
     fmt::Write as _,
@@ -128,6 +128,12 @@
             "outcome" => "not-read", "reason" => reason);
     }
 
+    /// Records that the body of a response broke off after its head had been sent.
+    pub(crate) fn record_broken_answer(&self, id: Option<&HeaderValue>, reason: &str) {
+        self.metrics.requests.count("broken-off");
+        warn!(self.logger, "answer broken off"; "id" => id_text(id), "reason" => reason);
+    }
+
     /// Forwards a request and returns the response. Dropping the future of an idempotent request
     /// cancels the request at its server.
     pub(crate) async fn forward(self: &Arc<Self>, request: CallerRequest) -> GatewayAnswer {
@@ -309,7 +315,8 @@
     async fn try_server(&self, call: &ForwardedCall, probed: ProbedServer) -> AttemptResult {
         let started = Instant::now();
         let (name, load) = (probed.server.name.clone(), probed.candidate.load);
-        let is_listed = self.placer.table.is_listed(&call.pool.service, &probed.server);
+        let is_listed = self.placer.table.is_listed(&call.pool.service, &probed.server)
+            && probed.server.held_until(started).is_none();
         let age = probed.probed_at.elapsed();
         call.attempt_log.lock().tried.push(name.clone());
         let is_cold = probed.candidate.is_cold;
@@ -411,6 +418,6 @@
     route.target().mul_f64(INITIAL_SERVICE_TIME_SHARE)
 }
 
-fn id_text(id: Option<&http::HeaderValue>) -> String {
+fn id_text(id: Option<&HeaderValue>) -> String {
     id.and_then(|id| id.to_str().ok()).unwrap_or("-").to_owned()
 }
--- a/crates/gateway/src/http1.rs
+++ b/crates/gateway/src/http1.rs
@@ -8,6 +8,8 @@
 mod body_decoder;
 mod head;
 
-pub(crate) use answer_bytes::{CONTINUE_RESPONSE, encode_answer};
+pub(crate) use answer_bytes::{
+    AnswerFraming, CONTINUE_RESPONSE, LAST_CHUNK, answer_framing, encode_head, encode_part,
+};
 pub(crate) use body_decoder::BodyDecoder;
 pub(crate) use head::{HeadError, RequestHead, parse_head};
--- a/crates/gateway/src/http1/head.rs
+++ b/crates/gateway/src/http1/head.rs
@@ -45,6 +45,8 @@
     pub(crate) is_last: bool,
     /// Whether the caller waits for `100 Continue` before it sends the body.
     pub(crate) expects_continue: bool,
+    /// Whether the caller accepts chunked bodies, as HTTP/1.1 requires.
+    pub(crate) accepts_chunks: bool,
 }
 
 /// Parses the head at the start of `bytes` and returns it with its length in bytes, or `None` if
@@ -85,7 +87,9 @@
     let is_last = has_token(&headers, header::CONNECTION, "close")
         || (is_http_10 && !has_token(&headers, header::CONNECTION, "keep-alive"));
     let expects_continue = has_token(&headers, header::EXPECT, "100-continue");
-    let head = RequestHead { method, target, headers, framing, is_last, expects_continue };
+    let accepts_chunks = !is_http_10;
+    let head =
+        RequestHead { method, target, headers, framing, is_last, expects_continue, accepts_chunks };
     Ok(Some((head, length)))
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! `policy`; the names and formats of header fields are defined by a [`WireDialect`].
 
 mod answer;
+mod answer_body;
 mod attempt;
 mod body;
 mod call;
@@ -22,7 +23,7 @@
 mod servers;
 mod service_queue;
 
-pub use answer::GatewayAnswer;
+use answer::GatewayAnswer;
 pub use dialect::{AnswerMetadata, ForwardMetadata, RequestMetadata, WireDialect};
 pub use listener::GatewayListener;
 pub use node::{GatewayDependencies, GatewayError, GatewayNode, GatewaySettings};
--- a/crates/gateway/src/placer.rs
+++ b/crates/gateway/src/placer.rs
@@ -10,7 +10,10 @@
 use futures_util::{StreamExt, stream::FuturesUnordered};
 use http::{Request, StatusCode, header};
 use http_body_util::Full;
-use policy::{PlacementCandidate, PlacementNeed, ServerLoad, cheapest_candidate, is_warm_up_entry};
+use policy::{
+    HoldEnd, PlacementCandidate, PlacementNeed, ServerLoad, cheapest_candidate, first_hold_end,
+    is_warm_up_entry,
+};
 use rand::seq::SliceRandom;
 use smallvec::SmallVec;
 use std::{
@@ -34,6 +37,8 @@
 /// timeout of a repeated probe of a server. Responses to probes take up to 10 ms, including
 /// connection setup.
 const GROUP_TIMEOUT: Duration = Duration::from_millis(25);
+/// Maximum size of the body of a response to a probe, in bytes.
+const MAX_PROBE_BODY_BYTES: usize = 4 * 1024;
 /// Maximum age of a load report that a placement uses. Load changes within milliseconds.
 const MAX_REPORT_AGE: Duration = Duration::from_millis(15);
 
@@ -81,6 +86,9 @@
     /// All servers that responded lack free capacity for the request, or are cold and may not
     /// receive it from this entry now.
     Full,
+    /// All servers are leaving or shed load. Holds the time after which the first accepts requests
+    /// again; `None` if none does.
+    Held(Option<Duration>),
 }
 
 /// The requirements of a request on its server.
@@ -236,7 +244,12 @@
         let now = Instant::now();
         let mut preferred = [0, 0];
         let mut ranked = Vec::with_capacity(servers.len());
+        let mut hold_ends: SmallVec<[HoldEnd; 4]> = SmallVec::new();
         for server in servers.iter().filter(|s| !request.excluded.contains(&s.name)) {
+            if let Some(end) = server.held_until(now) {
+                hold_ends.push(end);
+                continue;
+            }
             let is_remote = server.domain != self.domain;
             let count = &mut preferred[usize::from(is_remote)];
             *count += 1;
@@ -252,7 +265,10 @@
             ranked.push((rank, server.clone()));
         }
         if ranked.is_empty() {
-            return Err(PlaceError::NoServers);
+            return Err(match hold_ends.is_empty() {
+                true => PlaceError::NoServers,
+                false => PlaceError::Held(first_hold_end(hold_ends.into_iter(), now)),
+            });
         }
         ranked.shuffle(&mut rand::rng());
         ranked.sort_by_key(|(rank, _)| *rank);
@@ -378,11 +394,19 @@
             .header(header::HOST, self.server.address.to_string())
             .body(Full::new(Bytes::new()))
             .ok()?;
-        let answer = connection.exchange(request, &self.memory).await.ok()?;
+        let answer = connection.exchange(request, MAX_PROBE_BODY_BYTES, &self.memory).await.ok()?;
+        if answer.body.rest.is_some() {
+            return None;
+        }
         let metadata = self.dialect.answer_metadata(&answer.headers);
-        // Ignores a response from another server or without a server name, and one after which the
-        // connection closes, as the request would be sent on that connection.
-        if !answer.is_keep_alive || metadata.server.as_deref() != Some(self.server.name.as_str()) {
+        // Ignores a response from another server or without a server name.
+        if metadata.server.as_deref() != Some(self.server.name.as_str()) {
+            return None;
+        }
+        let now = Instant::now();
+        self.server.record_signals(now, metadata.signals(answer.status));
+        // The request would be sent on this connection.
+        if !answer.is_keep_alive || self.server.held_until(now).is_some() {
             return None;
         }
         let warm_up_left = metadata.warm_up_left.unwrap_or_default();
--- a/crates/gateway/src/server_connection.rs
+++ b/crates/gateway/src/server_connection.rs
@@ -1,10 +1,13 @@
 //! An HTTP/1.1 connection to a server, used for one request at a time.
 
-use crate::body::{BodyMemory, read_body};
+use crate::body::{BodyMemory, BodyStart, read_start};
 use bytes::Bytes;
 use http::{HeaderMap, Request, StatusCode, header};
 use http_body_util::Full;
-use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{
+    body::Body,
+    client::conn::http1::{self, SendRequest},
+};
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
 use std::{
@@ -15,8 +18,8 @@
 use thiserror::Error;
 use tokio::{net::TcpStream, task::AbortHandle, time::timeout};
 
-/// Maximum size of a response body, in bytes.
-const MAX_ANSWER_BYTES: u64 = 16 * 1024 * 1024;
+/// Maximum size of a response head, and of the read buffer of a connection, in bytes.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
 /// Keep-alive time that is assumed if the server does not state one.
 const DEFAULT_KEEP_ALIVE: Duration = Duration::from_secs(10);
 /// Fraction of the keep-alive time for which an idle connection is reused.
@@ -35,17 +38,19 @@
     MaybeSent(String),
 }
 
-/// A complete response from a server.
-#[derive(Debug)]
+/// A response from a server, with the start of its body.
 pub(crate) struct ServerAnswer {
     pub(crate) status: StatusCode,
     pub(crate) headers: HeaderMap,
-    pub(crate) body: Bytes,
+    /// Length of the whole body in bytes, if the server states it.
+    pub(crate) length: Option<u64>,
+    pub(crate) body: BodyStart,
     /// Whether the server keeps the connection open after the response.
     pub(crate) is_keep_alive: bool,
 }
 
 /// A connection to a server. Dropping it closes it, which cancels a request in flight.
+#[derive(Debug)]
 pub(crate) struct ServerConnection {
     sender: SendRequest<Full<Bytes>>,
     driver: AbortHandle,
@@ -74,7 +79,9 @@
         SockRef::from(&stream)
             .set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))
             .map_err(|error| not_sent(error.to_string()))?;
-        let (sender, connection) = http1::handshake(TokioIo::new(stream))
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(MAX_HEAD_BYTES)
+            .handshake(TokioIo::new(stream))
             .await
             .map_err(|error| not_sent(error.to_string()))?;
         // Errors of the connection are reported by the request in flight.
@@ -89,10 +96,11 @@
         !self.sender.is_closed() && idle < self.keep_alive.mul_f64(KEEP_ALIVE_SHARE)
     }
 
-    /// Sends a request and reads the complete response.
+    /// Sends a request and reads the response. Stops reading its body after `max_body_bytes`.
     pub(crate) async fn exchange(
         &mut self,
         request: Request<Full<Bytes>>,
+        max_body_bytes: usize,
         memory: &Arc<BodyMemory>,
     ) -> Result<ServerAnswer, ExchangeError> {
         if let Err(error) = self.sender.ready().await {
@@ -111,7 +119,8 @@
             }
         };
         let (parts, body) = response.into_parts();
-        let (body, _reservation) = read_body(body, MAX_ANSWER_BYTES, memory)
+        let length = body.size_hint().exact();
+        let body = read_start(body, max_body_bytes, memory)
             .await
             .map_err(|error| ExchangeError::MaybeSent(error.to_string()))?;
         self.last_used = Instant::now();
@@ -119,7 +128,8 @@
             self.keep_alive = keep_alive;
         }
         let is_keep_alive = !has_close(&parts.headers) && !self.sender.is_closed();
-        Ok(ServerAnswer { status: parts.status, headers: parts.headers, body, is_keep_alive })
+        let (status, headers) = (parts.status, parts.headers);
+        Ok(ServerAnswer { status, headers, length, body, is_keep_alive })
     }
 }
 
--- a/crates/gateway/src/server_search.rs
+++ b/crates/gateway/src/server_search.rs
@@ -64,6 +64,11 @@
                         return Ok(probed);
                     }
                     Err(PlaceError::Full) => {}
+                    Err(error @ PlaceError::Held(wait))
+                        if wait.is_none_or(|wait| now + wait >= wait_deadline) =>
+                    {
+                        return Err(error);
+                    }
                     Err(error)
                         if started.elapsed() > call.route.target().mul_f64(MIN_WAIT_SHARE) =>
                     {
--- a/crates/gateway/src/servers.rs
+++ b/crates/gateway/src/servers.rs
@@ -3,7 +3,7 @@
 
 use crate::server_connection::ServerConnection;
 use parking_lot::{Mutex, RwLock};
-use policy::{ColdAllowance, rendezvous_weight};
+use policy::{ColdAllowance, HoldEnd, ServerHold, ServerSignals, rendezvous_weight};
 use smallvec::SmallVec;
 use std::{
     cmp::Reverse,
@@ -30,6 +30,8 @@
 const FULL_REPORT_TTL: Duration = Duration::from_millis(40);
 /// Weight of the latest outcome in the moving average of failures.
 const OUTCOME_WEIGHT: f64 = 0.4;
+/// Maximum number of unlisted servers whose holds are kept. Above it, all are discarded.
+const MAX_HELD_SERVERS: usize = 8_192;
 /// Half-life of the failure share while no outcomes are recorded.
 const FAILURE_HALF_LIFE: Duration = Duration::from_secs(3);
 
@@ -44,6 +46,7 @@
     failure_share: f64,
     failure_updated: Option<Instant>,
     cold_allowance: ColdAllowance,
+    hold: ServerHold,
 }
 
 /// One incarnation of a backend server.
@@ -80,6 +83,9 @@
     /// full pool closes its least recently used connection.
     pub(crate) fn put_connection(&self, connection: ServerConnection) {
         let mut state = self.state.lock();
+        if state.hold.end_after(Instant::now()).is_some() {
+            return;
+        }
         if state.idle.len() >= MAX_IDLE_CONNECTIONS {
             state.idle.remove(0);
         }
@@ -104,6 +110,22 @@
         state.backoff_until = Some(now + backoff);
     }
 
+    /// Records what an answer of the server says about further requests. If it forbids them, closes
+    /// the idle connections.
+    pub(crate) fn record_signals(&self, now: Instant, signals: ServerSignals) {
+        let mut state = self.state.lock();
+        state.hold.record(now, signals);
+        if state.hold.end_after(now).is_some() {
+            state.idle.clear();
+        }
+    }
+
+    /// Returns until when the server wants no requests and no probes from this entry, or `None` if
+    /// it accepts them.
+    pub(crate) fn held_until(&self, now: Instant) -> Option<HoldEnd> {
+        self.state.lock().hold.end_after(now)
+    }
+
     /// Records whether the server reported that it is full.
     pub(crate) fn record_load(&self, now: Instant, is_full: bool) {
         self.state.lock().full_at = is_full.then_some(now);
@@ -171,12 +193,15 @@
 pub(crate) struct ServerTable {
     entry: EntryName,
     services: RwLock<HashMap<ServiceName, ServerList>>,
+    /// Servers that are not listed at present, but want no requests if they are listed again with
+    /// the same incarnation.
+    held: Mutex<HashMap<ServerName, Arc<BackendServer>>>,
 }
 
 impl ServerTable {
     /// Returns an empty table for an entry.
     pub(crate) fn new(entry: EntryName) -> Self {
-        Self { entry, services: RwLock::default() }
+        Self { entry, services: RwLock::default(), held: Mutex::default() }
     }
 
     /// Returns the servers of a service that may receive new requests.
@@ -192,9 +217,11 @@
     }
 
     /// Installs the servers of a new view. Servers whose incarnation and address are unchanged keep
-    /// their state.
+    /// their state. A server that is leaving or sheds load keeps that state also while the view does
+    /// not list it.
     pub(crate) fn install(&self, view: &ClusterView) {
-        let mut previous: HashMap<ServerName, Arc<BackendServer>> = HashMap::new();
+        let now = Instant::now();
+        let mut previous = std::mem::take(&mut *self.held.lock());
         for list in self.services.read().values() {
             previous.extend(list.iter().map(|server| (server.name.clone(), server.clone())));
         }
@@ -215,7 +242,16 @@
             list.sort_by_cached_key(|server| Reverse(rendezvous_weight(&self.entry, &server.name)));
             (service, list.into())
         });
-        *self.services.write() = services.collect();
+        let services: HashMap<ServiceName, ServerList> = services.collect();
+        for server in services.values().flat_map(|list| list.iter()) {
+            previous.remove(&server.name);
+        }
+        previous.retain(|_, server| server.held_until(now).is_some());
+        if previous.len() > MAX_HELD_SERVERS {
+            previous.clear();
+        }
+        *self.held.lock() = previous;
+        *self.services.write() = services;
     }
 }
 
--- a/crates/gateway/tests/harness/mod.rs
+++ b/crates/gateway/tests/harness/mod.rs
@@ -6,8 +6,8 @@
 use bytes::Bytes;
 use follow::LeaderClient;
 use hawthornhill_gateway::{
-    AnswerMetadata, ForwardMetadata, GatewayDependencies, GatewayNode, GatewaySettings,
-    RequestMetadata, WireDialect,
+    AnswerMetadata, ForwardMetadata, GatewayDependencies, GatewayError, GatewayNode,
+    GatewaySettings, RequestMetadata, WireDialect,
 };
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
@@ -24,7 +24,7 @@
     net::SocketAddr,
     sync::{
         Arc,
-        atomic::{AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     time::{Duration, Instant},
 };
@@ -65,11 +65,17 @@
     pub is_healthy: Mutex<bool>,
     pub runs: AtomicUsize,
     pub probes: AtomicUsize,
+    /// Requests and probes that the server refused with a hold.
+    pub sheds: AtomicUsize,
     /// Runs that were not cancelled.
     pub finished: AtomicUsize,
     pub run_times: Mutex<Vec<Instant>>,
     pub last_body: Mutex<Vec<u8>>,
     pub domain: String,
+    /// Whether all answers state that the server is leaving.
+    pub is_leaving: AtomicBool,
+    /// If not empty, the server refuses all requests and probes with this hold, in seconds.
+    pub sheds_for: Mutex<String>,
 }
 
 impl ScriptedServer {
@@ -84,10 +90,13 @@
             is_healthy: Mutex::new(true),
             runs: AtomicUsize::new(0),
             probes: AtomicUsize::new(0),
+            sheds: AtomicUsize::new(0),
             finished: AtomicUsize::new(0),
             run_times: Mutex::default(),
             last_body: Mutex::default(),
             domain: domain.to_owned(),
+            is_leaving: AtomicBool::new(false),
+            sheds_for: Mutex::default(),
         });
         let acceptor = server.clone();
         tokio::spawn(async move {
@@ -118,6 +127,15 @@
         let load_text =
             format!("{},{},{},{}", load.running, load.waiting, load.slots, load.slowness_percent);
         let mut builder = Response::builder().header("x-load", load_text);
+        if self.is_leaving.load(Ordering::SeqCst) {
+            builder = builder.header("x-leaving", "1");
+        }
+        let sheds_for = self.sheds_for.lock().clone();
+        if !sheds_for.is_empty() {
+            self.sheds.fetch_add(1, Ordering::SeqCst);
+            builder = builder.status(503).header("x-not-run", "1").header("x-hold", sheds_for);
+            return Ok(builder.header("x-name", &self.name).body(Full::default()).expect("valid"));
+        }
         if request.uri().path() == "/health" {
             self.probes.fetch_add(1, Ordering::SeqCst);
             let cold = self.cold_ms.load(Ordering::SeqCst);
@@ -199,6 +217,8 @@
             server: text("x-name").map(str::to_owned),
             load,
             warm_up_left: text("x-cold").and_then(|t| t.parse().ok()).map(Duration::from_millis),
+            is_leaving: text("x-leaving").is_some(),
+            retry_after: text("x-hold").and_then(|t| t.parse().ok()).map(Duration::from_secs_f64),
         }
     }
 
@@ -319,9 +339,21 @@
 
     /// Starts an entry whose replicas have no routes and no servers.
     pub async fn start_empty(startup_wait: StartupWait) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
-        let address = listener.local_addr().expect("bound");
-        drop(listener);
+        loop {
+            // Another socket may take the port between the two calls.
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+            let address = listener.local_addr().expect("bound");
+            drop(listener);
+            if let Ok(gateway) = Self::try_start_empty(address, startup_wait).await {
+                return gateway;
+            }
+        }
+    }
+
+    async fn try_start_empty(
+        address: SocketAddr,
+        startup_wait: StartupWait,
+    ) -> Result<Self, GatewayError> {
         let info = EntryInfo {
             name: "entry-1".parse().expect("name"),
             domain: "a".parse().expect("name"),
@@ -353,8 +385,8 @@
             logger: root_logger(LogFormat::Json, "entry-1"),
             timer: TimerService::start(),
         };
-        let node = GatewayNode::start(settings, dependencies).await.expect("the address is free");
-        Self { node, replicas, address }
+        let node = GatewayNode::start(settings, dependencies).await?;
+        Ok(Self { node, replicas, address })
     }
 
     /// Sends a request on a new connection.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -18,6 +18,7 @@
 mod retry_budget;
 mod retry_delay;
 mod selection;
+mod server_hold;
 mod service_load;
 mod service_time;
 mod shared_budget;
@@ -42,6 +43,7 @@
 pub use retry_budget::RetryBudget;
 pub use retry_delay::{CapacityForecast, retry_delay};
 pub use selection::{CandidateLoad, LatencySelector, ServerSelector};
+pub use server_hold::{HoldEnd, ServerHold, ServerSignals, first_hold_end};
 pub use service_load::{
     BalancerSettings, PickResult, PickedServer, ReleaseOutcome, ServerReport, ServerStatus,
     ServiceBalancer, expected_wait,
