gateway: log the limits on requests that servers state (LIMIT)

Nothing else uses it yet. The line is limited to one a second and server, because a server may state another limit in each answer.

Ruled out: a counter instead of a line; it could not tell the source and the server.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -12,6 +12,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Method, Request, StatusCode, Uri, header};
 use http_body_util::Full;
+use policy::SignalSource;
 use std::{sync::Arc, time::Instant};
 use tokio::time::timeout_at;
 
@@ -93,7 +94,8 @@
         Ok(Ok(answer)) => {
             let metadata = dialect.answer_metadata(&answer.headers);
             if is_from_expected_server(request, &answer, &metadata) {
-                server.record_signals(now, metadata.signals(answer.status));
+                let signals = metadata.signals(answer.status);
+                server.record_signals(now, SignalSource::Request, signals);
             }
             match classify_answer(request, &answer, &metadata) {
                 AnswerClass::NotRun(reason) => AttemptResult::NotRun(reason),
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -42,13 +42,19 @@
     pub is_leaving: bool,
     /// Time for which the server wants no further requests. Only valid in a refusal.
     pub retry_after: Option<Duration>,
+    /// Requests per 1000 s that the server accepts from all entries together, if it limits them.
+    pub limit_milli: Option<u32>,
 }
 
 impl AnswerMetadata {
     /// Returns what a response with this status says about further requests.
     pub(crate) fn signals(&self, status: StatusCode) -> ServerSignals {
         let is_refusal = status == StatusCode::SERVICE_UNAVAILABLE;
-        ServerSignals { is_leaving: self.is_leaving, hold: self.retry_after.filter(|_| is_refusal) }
+        ServerSignals {
+            is_leaving: self.is_leaving,
+            hold: self.retry_after.filter(|_| is_refusal),
+            limit_milli: self.limit_milli,
+        }
     }
 }
 
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -138,7 +138,7 @@
         let socket =
             TcpListener::bind(address).await.map_err(|source| GatewayError { address, source })?;
         let view = Arc::new(RwLock::new(Arc::new(ClusterView::default())));
-        let table = Arc::new(ServerTable::new(settings.info.name.clone()));
+        let table = Arc::new(ServerTable::new(settings.info.name.clone(), logger.clone()));
         let placer = ServerPlacer {
             entry: settings.info.name.clone(),
             domain: settings.info.domain.clone(),
--- a/crates/gateway/src/placer.rs
+++ b/crates/gateway/src/placer.rs
@@ -11,8 +11,8 @@
 use http::{Request, StatusCode, header};
 use http_body_util::Full;
 use policy::{
-    HoldEnd, PlacementCandidate, PlacementNeed, ServerLoad, cheapest_candidate, first_hold_end,
-    is_warm_up_entry,
+    HoldEnd, PlacementCandidate, PlacementNeed, ServerLoad, SignalSource, cheapest_candidate,
+    first_hold_end, is_warm_up_entry,
 };
 use rand::seq::SliceRandom;
 use smallvec::SmallVec;
@@ -404,7 +404,8 @@
             return None;
         }
         let now = Instant::now();
-        self.server.record_signals(now, metadata.signals(answer.status));
+        let signals = metadata.signals(answer.status);
+        self.server.record_signals(now, SignalSource::Probe, signals);
         // The request would be sent on this connection.
         if !answer.is_keep_alive || self.server.held_until(now).is_some() {
             return None;
--- a/crates/gateway/src/servers.rs
+++ b/crates/gateway/src/servers.rs
@@ -3,7 +3,9 @@
 
 use crate::server_connection::ServerConnection;
 use parking_lot::{Mutex, RwLock};
-use policy::{ColdAllowance, HoldEnd, ServerHold, ServerSignals, rendezvous_weight};
+use policy::{ColdAllowance, HoldEnd, ServerHold, ServerSignals, SignalSource, rendezvous_weight};
+use runtime::Logger;
+use slog::info;
 use smallvec::SmallVec;
 use std::{
     cmp::Reverse,
@@ -32,6 +34,8 @@
 const OUTCOME_WEIGHT: f64 = 0.4;
 /// Maximum number of unlisted servers whose holds are kept. Above it, all are discarded.
 const MAX_HELD_SERVERS: usize = 8_192;
+/// Minimum time between two log lines about the stated limit of one server.
+const LIMIT_LOG_INTERVAL: Duration = Duration::from_secs(1);
 /// Half-life of the failure share while no outcomes are recorded.
 const FAILURE_HALF_LIFE: Duration = Duration::from_secs(3);
 
@@ -47,6 +51,14 @@
     failure_updated: Option<Instant>,
     cold_allowance: ColdAllowance,
     hold: ServerHold,
+    stated_limit: StatedLimit,
+}
+
+/// The last limit on requests that a server stated, with the source, and when that was logged.
+#[derive(Default)]
+struct StatedLimit {
+    limit_milli: Option<u32>,
+    logged_at: Option<Instant>,
 }
 
 /// One incarnation of a backend server.
@@ -56,17 +68,19 @@
     pub(crate) address: SocketAddr,
     pub(crate) slots: u32,
     incarnation: ServerIncarnation,
+    logger: Logger,
     state: Mutex<TrackedState>,
 }
 
 impl BackendServer {
-    fn new(announcement: &Announcement) -> Self {
+    fn new(announcement: &Announcement, logger: Logger) -> Self {
         Self {
             name: announcement.server.clone(),
             domain: announcement.domain.clone(),
             address: announcement.address,
             slots: announcement.slots.into(),
             incarnation: announcement.incarnation,
+            logger,
             state: Mutex::default(),
         }
     }
@@ -112,14 +126,38 @@
 
     /// Records what an answer of the server says about further requests. If it forbids them, closes
     /// the idle connections.
-    pub(crate) fn record_signals(&self, now: Instant, signals: ServerSignals) {
+    pub(crate) fn record_signals(
+        &self,
+        now: Instant,
+        source: SignalSource,
+        signals: ServerSignals,
+    ) {
         let mut state = self.state.lock();
+        self.log_limit(&mut state.stated_limit, now, source, signals.limit_milli);
         state.hold.record(now, signals);
         if state.hold.end_after(now).is_some() {
             state.idle.clear();
         }
     }
 
+    /// Logs a limit that differs from the last one logged, at most once per [`LIMIT_LOG_INTERVAL`].
+    fn log_limit(
+        &self,
+        stated: &mut StatedLimit,
+        now: Instant,
+        source: SignalSource,
+        limit_milli: Option<u32>,
+    ) {
+        let is_due = stated
+            .logged_at
+            .is_none_or(|at| now.saturating_duration_since(at) >= LIMIT_LOG_INTERVAL);
+        if limit_milli != stated.limit_milli && is_due {
+            info!(self.logger, "server limit"; "server" => %self.name, "source" => source.name(),
+                "limit_milli" => limit_milli, "before_milli" => stated.limit_milli);
+            *stated = StatedLimit { limit_milli, logged_at: Some(now) };
+        }
+    }
+
     /// Returns until when the server wants no requests and no probes from this entry, or `None` if
     /// it accepts them.
     pub(crate) fn held_until(&self, now: Instant) -> Option<HoldEnd> {
@@ -192,6 +230,7 @@
 /// servers.
 pub(crate) struct ServerTable {
     entry: EntryName,
+    logger: Logger,
     services: RwLock<HashMap<ServiceName, ServerList>>,
     /// Servers that are not listed at present, but want no requests if they are listed again with
     /// the same incarnation.
@@ -200,8 +239,8 @@
 
 impl ServerTable {
     /// Returns an empty table for an entry.
-    pub(crate) fn new(entry: EntryName) -> Self {
-        Self { entry, services: RwLock::default(), held: Mutex::default() }
+    pub(crate) fn new(entry: EntryName, logger: Logger) -> Self {
+        Self { entry, logger, services: RwLock::default(), held: Mutex::default() }
     }
 
     /// Returns the servers of a service that may receive new requests.
@@ -230,7 +269,7 @@
             server.state == ServerState::Ready && !view.is_drained(&server.domain)
         };
         for announcement in view.servers().filter(is_eligible) {
-            let announced = BackendServer::new(announcement);
+            let announced = BackendServer::new(announcement, self.logger.clone());
             let kept = previous
                 .get(&announced.name)
                 .filter(|previous_server| previous_server.is_same_instance(&announced))
--- a/crates/gateway/tests/harness/mod.rs
+++ b/crates/gateway/tests/harness/mod.rs
@@ -219,6 +219,7 @@
             warm_up_left: text("x-cold").and_then(|t| t.parse().ok()).map(Duration::from_millis),
             is_leaving: text("x-leaving").is_some(),
             retry_after: text("x-hold").and_then(|t| t.parse().ok()).map(Duration::from_secs_f64),
+            limit_milli: text("x-limit-milli").and_then(|t| t.parse().ok()),
         }
     }
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -43,7 +43,7 @@
 pub use retry_budget::RetryBudget;
 pub use retry_delay::{CapacityForecast, retry_delay};
 pub use selection::{CandidateLoad, LatencySelector, ServerSelector};
-pub use server_hold::{HoldEnd, ServerHold, ServerSignals, first_hold_end};
+pub use server_hold::{HoldEnd, ServerHold, ServerSignals, SignalSource, first_hold_end};
 pub use service_load::{
     BalancerSettings, PickResult, PickedServer, ReleaseOutcome, ServerReport, ServerStatus,
     ServiceBalancer, expected_wait,
--- a/crates/policy/src/server_hold.rs
+++ b/crates/policy/src/server_hold.rs
@@ -6,6 +6,25 @@
 
 use std::time::{Duration, Instant};
 
+/// The kind of exchange in which a server stated something.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SignalSource {
+    /// The answer to a probe.
+    Probe,
+    /// The answer to a caller's request.
+    Request,
+}
+
+impl SignalSource {
+    /// Returns the name of the source in logs.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Probe => "probe",
+            Self::Request => "request",
+        }
+    }
+}
+
 /// What one answer of a server says about further requests from this entry.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct ServerSignals {
@@ -13,6 +32,8 @@
     pub is_leaving: bool,
     /// The server refused the request and wants no others for this time.
     pub hold: Option<Duration>,
+    /// Requests per 1000 s that the server accepts from all entries together, if it limits them.
+    pub limit_milli: Option<u32>,
 }
 
 /// The time until which a server gets no requests.
--- a/crates/policy/tests/server_hold.rs
+++ b/crates/policy/tests/server_hold.rs
@@ -29,7 +29,7 @@
         let much_later = now + Duration::from_secs(86_400);
         assert_eq!(hold.end_after(much_later), Some(HoldEnd::Never), "{signals:?}");
     }
-    let both = ServerSignals { is_leaving: true, hold: Some(SECOND) };
+    let both = ServerSignals { is_leaving: true, ..shedding(SECOND) };
     let mut hold = ServerHold::default();
     hold.record(now, both);
     assert_eq!(hold.end_after(now + 2 * SECOND), Some(HoldEnd::Never), "mark and hold together");
