gateway: a failing test for limits on requests that servers state (LIMIT)

Six entries share two servers; the nearer one states a limit, in all its answers or only in those to requests. The harness starts several entries on one set of replicas.

--- a/crates/gateway/tests/harness/mod.rs
+++ b/crates/gateway/tests/harness/mod.rs
@@ -76,6 +76,10 @@
     pub is_leaving: AtomicBool,
     /// If not empty, the server refuses all requests and probes with this hold, in seconds.
     pub sheds_for: Mutex<String>,
+    /// Requests per 1000 s that the server accepts from all entries, if it limits them.
+    pub limit_milli: Mutex<Option<u32>>,
+    /// Whether only answers to requests state the limit, and none to probes.
+    pub hides_limit_from_probes: AtomicBool,
 }
 
 impl ScriptedServer {
@@ -97,6 +101,8 @@
             domain: domain.to_owned(),
             is_leaving: AtomicBool::new(false),
             sheds_for: Mutex::default(),
+            limit_milli: Mutex::default(),
+            hides_limit_from_probes: AtomicBool::new(false),
         });
         let acceptor = server.clone();
         tokio::spawn(async move {
@@ -130,13 +136,19 @@
         if self.is_leaving.load(Ordering::SeqCst) {
             builder = builder.header("x-leaving", "1");
         }
+        let is_probe = request.uri().path() == "/health";
+        let hides_limit = is_probe && self.hides_limit_from_probes.load(Ordering::SeqCst);
+        let limit_milli = *self.limit_milli.lock();
+        if let Some(limit_milli) = limit_milli.filter(|_| !hides_limit) {
+            builder = builder.header("x-limit-milli", limit_milli.to_string());
+        }
         let sheds_for = self.sheds_for.lock().clone();
         if !sheds_for.is_empty() {
             self.sheds.fetch_add(1, Ordering::SeqCst);
             builder = builder.status(503).header("x-not-run", "1").header("x-hold", sheds_for);
             return Ok(builder.header("x-name", &self.name).body(Full::default()).expect("valid"));
         }
-        if request.uri().path() == "/health" {
+        if is_probe {
             self.probes.fetch_add(1, Ordering::SeqCst);
             let cold = self.cold_ms.load(Ordering::SeqCst);
             builder = builder.header("x-name", &self.name).header("x-cold", cold.to_string());
@@ -239,6 +251,10 @@
 }
 
 impl SimulatedReplicas {
+    fn empty() -> Arc<Self> {
+        Arc::new(Self { state: Mutex::default() })
+    }
+
     pub fn apply(&self, command: &Command) {
         self.state.lock().apply(LogTime(1), command);
     }
@@ -328,6 +344,26 @@
         gateway
     }
 
+    /// Starts several entries of the failure domain `a` that share one set of replicas, and waits
+    /// until they are ready.
+    pub async fn start_fleet(
+        count: usize,
+        document: RoutingDocument,
+        servers: &[&Arc<ScriptedServer>],
+    ) -> Vec<Self> {
+        let replicas = SimulatedReplicas::empty();
+        let mut fleet = Vec::new();
+        for number in 1..=count {
+            let name = format!("entry-{number}");
+            fleet.push(Self::start_entry(&name, &replicas, StartupWait::default()).await);
+        }
+        fleet[0].publish(document, servers);
+        while !fleet.iter().all(|gateway| gateway.node.is_ready()) {
+            sleep(Duration::from_millis(5)).await;
+        }
+        fleet
+    }
+
     /// Applies routes and servers to the state of the replicas.
     pub fn publish(&self, document: RoutingDocument, servers: &[&Arc<ScriptedServer>]) {
         let mut state = self.replicas.state.lock();
@@ -340,23 +376,34 @@
 
     /// Starts an entry whose replicas have no routes and no servers.
     pub async fn start_empty(startup_wait: StartupWait) -> Self {
+        Self::start_entry("entry-1", &SimulatedReplicas::empty(), startup_wait).await
+    }
+
+    async fn start_entry(
+        name: &str,
+        replicas: &Arc<SimulatedReplicas>,
+        startup_wait: StartupWait,
+    ) -> Self {
         loop {
             // Another socket may take the port between the two calls.
             let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
             let address = listener.local_addr().expect("bound");
             drop(listener);
-            if let Ok(gateway) = Self::try_start_empty(address, startup_wait).await {
+            let started = Self::try_start_entry(name, replicas, address, startup_wait).await;
+            if let Ok(gateway) = started {
                 return gateway;
             }
         }
     }
 
-    async fn try_start_empty(
+    async fn try_start_entry(
+        name: &str,
+        replicas: &Arc<SimulatedReplicas>,
         address: SocketAddr,
         startup_wait: StartupWait,
     ) -> Result<Self, GatewayError> {
         let info = EntryInfo {
-            name: "entry-1".parse().expect("name"),
+            name: name.parse().expect("name"),
             domain: "a".parse().expect("name"),
             incarnation: EntryIncarnation(1),
             caller_address: address,
@@ -366,9 +413,7 @@
             serving: true,
             owns_shards: false,
         };
-        let mut state = ClusterState::default();
-        state.apply(LogTime(1), &Command::PutEntry(info.clone()));
-        let replicas = Arc::new(SimulatedReplicas { state: Mutex::new(state) });
+        replicas.apply(&Command::PutEntry(info.clone()));
         let target = PeerTarget { host: "core-1".parse().expect("name"), address };
         let settings = GatewaySettings {
             info,
@@ -382,12 +427,12 @@
             dialect: Arc::new(TestDialect),
             leader: Arc::new(LeaderClient::new(replicas.clone(), vec![target])),
             metrics: MetricsRegistry::default(),
-            timeline: EventTimeline::new("entry-1"),
-            logger: root_logger(LogFormat::Json, "entry-1"),
+            timeline: EventTimeline::new(name),
+            logger: root_logger(LogFormat::Json, name),
             timer: TimerService::start(),
         };
         let node = GatewayNode::start(settings, dependencies).await?;
-        Ok(Self { node, replicas, address })
+        Ok(Self { node, replicas: replicas.clone(), address })
     }
 
     /// Sends a request on a new connection.
--- /dev/null
+++ b/crates/gateway/tests/server_limits.rs
@@ -0,0 +1,116 @@
+//! Servers that limit the requests that they accept from all entries together.
+
+mod harness;
+
+use harness::{Script, ScriptedServer, TestGateway, routing};
+use http::StatusCode;
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::{Duration, Instant},
+};
+use tokio::{
+    join,
+    task::JoinSet,
+    time::{interval, sleep},
+};
+
+/// Time that entries have to adapt to a limit.
+const ADAPT_TIME: Duration = Duration::from_secs(3);
+/// Window in which the requests to a limited server are counted.
+const WINDOW: Duration = Duration::from_secs(4);
+/// Factor and constant by which the requests within a window may exceed the limit.
+const EXCESS: (f64, f64) = (1.5, 5.0);
+/// Time between two requests of the callers of one entry.
+const REQUEST_PERIOD: Duration = Duration::from_millis(150);
+/// Entries that share the servers.
+const ENTRY_COUNT: usize = 6;
+
+/// Sends requests to each entry for a time. Returns how many were answered with success by each of
+/// the servers named `near` and `far`, and how many were not.
+async fn send_load(fleet: &[Arc<TestGateway>], time: Duration) -> [usize; 3] {
+    let end = Instant::now() + time;
+    let mut callers = JoinSet::new();
+    for gateway in fleet {
+        let gateway = gateway.clone();
+        callers.spawn(async move {
+            let mut requests = JoinSet::new();
+            let mut ticks = interval(REQUEST_PERIOD);
+            for number in 0.. {
+                ticks.tick().await;
+                if Instant::now() >= end {
+                    break;
+                }
+                let gateway = gateway.clone();
+                requests.spawn(async move {
+                    gateway.send("GET", "/read/x", &format!("r{number}")).await
+                });
+            }
+            requests.join_all().await
+        });
+    }
+    let mut counts = [0; 3];
+    for answer in callers.join_all().await.into_iter().flatten() {
+        let index = match (answer.status, answer.body.as_str()) {
+            (StatusCode::OK, "near") => 0,
+            (StatusCode::OK, "far") => 1,
+            _ => 2,
+        };
+        counts[index] += 1;
+    }
+    counts
+}
+
+/// Returns the largest number of these times that lie within one window.
+fn most_within_window(times: &[Instant]) -> usize {
+    let count = |start: &Instant| {
+        times.iter().filter(|time| *time >= start && **time < *start + WINDOW).count()
+    };
+    times.iter().map(count).max().unwrap_or_default()
+}
+
+async fn start_fleet(hides_limit: bool) -> (Arc<ScriptedServer>, Vec<Arc<TestGateway>>) {
+    let near = ScriptedServer::start("near", "a", Script::Answer(200, 5)).await;
+    let far = ScriptedServer::start("far", "b", Script::Answer(200, 5)).await;
+    near.hides_limit_from_probes.store(hides_limit, Ordering::SeqCst);
+    let fleet = TestGateway::start_fleet(ENTRY_COUNT, routing(1, 2), &[&near, &far]).await;
+    (near, fleet.into_iter().map(Arc::new).collect())
+}
+
+/// Checks one fleet under a limit. `limit` is in requests per second.
+async fn check_limit(limit: f64, hides_limit: bool) {
+    let (near, fleet) = start_fleet(hides_limit).await;
+    *near.limit_milli.lock() = Some((limit * 1_000.0) as u32);
+    let adapting = send_load(&fleet, ADAPT_TIME).await;
+    near.run_times.lock().clear();
+    let counts = send_load(&fleet, 2 * WINDOW).await;
+    let times = near.run_times.lock().clone();
+    let most = most_within_window(&times);
+    let allowed = EXCESS.0 * limit * WINDOW.as_secs_f64() + EXCESS.1;
+    let case =
+        format!("limit {limit}, hidden from probes: {hides_limit}, {adapting:?}, {counts:?}");
+    assert!(most as f64 <= allowed, "{most} requests in 4 s, {allowed} allowed: {case}");
+    assert_eq!(counts[2], 0, "callers were not served although the other server is idle: {case}");
+    let least = 0.25 * limit * (2 * WINDOW).as_secs_f64();
+    assert!(times.len() as f64 >= least, "the server gets less than a quarter: {case}");
+}
+
+/// Pattern: a server in need takes few requests a second. Guards against entries that ignore its
+/// limit, or that each use all of it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn limited_server_gets_its_limit_from_all_entries_together() {
+    join!(check_limit(2.0, false), check_limit(2.0, true), check_limit(6.0, false));
+}
+
+/// Guards against a server that stays limited after it has ended its limit.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn server_gets_its_usual_share_again_after_the_end_of_its_limit() {
+    let (near, fleet) = start_fleet(false).await;
+    *near.limit_milli.lock() = Some(1_000);
+    let limited = send_load(&fleet, Duration::from_secs(2)).await;
+    *near.limit_milli.lock() = None;
+    sleep(Duration::from_secs(1)).await;
+    send_load(&fleet, Duration::from_secs(1)).await;
+    let counts = send_load(&fleet, Duration::from_secs(2)).await;
+    assert!(counts[0] > counts[1], "{limited:?}, then {counts:?}");
+    assert_eq!(counts[2], 0);
+}
