--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -15,6 +15,7 @@
 use policy::SignalSource;
 use std::{sync::Arc, time::Instant};
 use tokio::time::timeout_at;
+use types::RequestFingerprint;
 
 /// Size above which a body is streamed instead of held, in bytes. A response whose body breaks off
 /// before that is not forwarded, so that the request may be repeated.
@@ -34,6 +35,15 @@
     pub(crate) deadline: Instant,
 }
 
+impl PreparedRequest {
+    /// Returns the fingerprint that identifies requests which are alike.
+    pub(crate) fn fingerprint(&self) -> RequestFingerprint {
+        let host = self.headers.get(header::HOST).map_or(&[][..], HeaderValue::as_bytes);
+        let host = String::from_utf8_lossy(host);
+        RequestFingerprint::new(self.method.as_str(), &host, &self.target.to_string(), &self.body)
+    }
+}
+
 /// The result of an attempt.
 #[derive(Debug)]
 pub(crate) enum AttemptResult {
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -7,6 +7,7 @@
 use policy::{PlacementNeed, WaitRank};
 use smallvec::SmallVec;
 use std::{
+    net::IpAddr,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -21,6 +22,8 @@
     /// The memory that the body occupies.
     pub(crate) reservation: MemoryReservation,
     pub(crate) arrived: Instant,
+    /// Address of the caller, if its connection still has one.
+    pub(crate) caller: Option<IpAddr>,
 }
 
 /// A request that is being forwarded, with the data for its log line.
@@ -28,6 +31,7 @@
     pub(crate) route: Arc<RouteSpec>,
     pub(crate) pool: PoolSpec,
     pub(crate) request: PreparedRequest,
+    pub(crate) caller: Option<IpAddr>,
     pub(crate) arrived: Instant,
     /// Estimated time that the caller has spent on earlier attempts.
     pub(crate) earlier_attempts_time: Duration,
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -18,6 +18,7 @@
 use std::{
     collections::VecDeque,
     io,
+    net::IpAddr,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -71,6 +72,7 @@
 /// A caller's connection.
 pub(crate) struct CallerConnection {
     stream: TcpStream,
+    caller: Option<IpAddr>,
     forwarder: Arc<RequestForwarder>,
     limits: CallerLimits,
     stop: watch::Receiver<StopStage>,
@@ -97,8 +99,10 @@
         stop: watch::Receiver<StopStage>,
     ) -> Self {
         let limits = forwarder.caller_limits();
+        let caller = stream.peer_addr().ok().map(|address| address.ip());
         Self {
             stream,
+            caller,
             forwarder,
             limits,
             stop,
@@ -248,8 +252,15 @@
         let id = self.forwarder.dialect.request_metadata(&headers).id;
         let traits = RequestTraits { method: method.clone(), id, accepts_chunks, is_last };
         let body: Bytes = body.finish();
-        let request =
-            CallerRequest { method, target, headers, body, reservation, arrived: Instant::now() };
+        let request = CallerRequest {
+            method,
+            target,
+            headers,
+            body,
+            reservation,
+            arrived: Instant::now(),
+            caller: self.caller,
+        };
         Ok(Some(PendingRequest { request, traits }))
     }
 
--- a/crates/gateway/src/forwarder.rs
+++ b/crates/gateway/src/forwarder.rs
@@ -31,7 +31,7 @@
     sync::watch,
     time::{sleep_until, timeout_at},
 };
-use types::{CallerLimits, ClusterView, RouteSpec, ServiceName};
+use types::{CallerLimits, ClusterView, RouteSpec, ServerName, ServiceName};
 
 /// Base of the retry time that callers get while the entry has no routes: the typical time from the
 /// start of an entry until it has routes.
@@ -151,7 +151,8 @@
             let answer = GatewayAnswer::own(StatusCode::NOT_FOUND, "the route has no service");
             return self.finish_unrouted(&metadata, "no-service", answer);
         };
-        let CallerRequest { method, target, mut headers, body, reservation, arrived } = request;
+        let CallerRequest { method, target, mut headers, body, reservation, arrived, caller } =
+            request;
         let caller_wait = metadata.time_allowed.unwrap_or(route.timeout());
         let caller_deadline = arrived + caller_wait;
         let deadline = caller_deadline.min(arrived + route.timeout());
@@ -171,6 +172,7 @@
             route,
             pool,
             request,
+            caller,
             arrived,
             earlier_attempts_time,
             view,
@@ -331,6 +333,9 @@
             self.record_service_time(call, normalized);
         }
         self.metrics.attempts.count(result.name());
+        if let AttemptResult::Unknown(reason) = &result {
+            self.log_lost_attempt(call, &name, reason, elapsed);
+        }
         let mut attempt_log = call.attempt_log.lock();
         attempt_log.had_free_slot = load.running < load.slots;
         attempt_log.may_have_run |= !matches!(result, AttemptResult::NotRun(_));
@@ -353,6 +358,27 @@
         result
     }
 
+    /// Logs an attempt that ended without an answer, with what tells requests that are alike.
+    fn log_lost_attempt(
+        &self,
+        call: &ForwardedCall,
+        server: &ServerName,
+        reason: &str,
+        elapsed: Duration,
+    ) {
+        let request = &call.request;
+        let mut fields = String::new();
+        for (name, value) in &request.headers {
+            // Values may be secret. Writing to a string cannot fail.
+            let _ = write!(fields, "{name}#{:08x} ", crc32fast::hash(value.as_bytes()));
+        }
+        info!(self.logger, "attempt lost"; "id" => id_text(request.id.as_ref()),
+            "fingerprint" => %request.fingerprint(), "server" => %server, "reason" => reason,
+            "ms" => elapsed.as_millis() as u64, "method" => %request.method,
+            "target" => %request.target, "body_bytes" => request.body.len(), "fields" => fields,
+            "caller" => call.caller.map(|address| address.to_string()));
+    }
+
     /// Updates the estimate of the service time. `normalized` is an observed service time, scaled
     /// to the usual speed of the server.
     fn record_service_time(&self, call: &ForwardedCall, normalized: Duration) {
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -12,6 +12,7 @@
 mod names;
 mod outcome;
 mod registry;
+mod request_fingerprint;
 mod routing;
 mod server_info;
 mod state;
@@ -33,6 +34,7 @@
     OwnerHeartbeat, RegistryChange, RegistryDelta, RegistryRequest, RegistryVersion, ServerRecord,
     ServerStage, ShardOwnerId, SuspectKind, SuspectReport,
 };
+pub use request_fingerprint::RequestFingerprint;
 pub use routing::{
     CallerLimits, PoolSpec, RoutePart, RouteSpec, RouteTable, RoutingDocument, RoutingError,
     RoutingPatch, RoutingVersion,
