--- /dev/null
+++ b/crates/gateway/tests/crashing_requests.rs
@@ -0,0 +1,107 @@
+//! Requests that make each server that runs them end, and that callers send again.
+
+mod harness;
+
+use harness::{Script, ScriptedServer, TestAnswer, TestGateway, announcement, routing};
+use http::StatusCode;
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+use tokio::{task::JoinSet, time::interval};
+use types::{Command, ServerIncarnation, ServerState};
+
+/// Time that entries have after the third server has ended.
+const ADAPT_TIME: Duration = Duration::from_secs(3);
+/// Number of times that the request may reach servers after that.
+const MAX_LATE_RUNS: usize = 3;
+/// Time for which callers send requests.
+const LOAD_TIME: Duration = Duration::from_secs(8);
+/// Time between two copies of the request.
+const REPEAT_PERIOD: Duration = Duration::from_millis(130);
+/// Time between two requests of other callers of one entry.
+const REQUEST_PERIOD: Duration = Duration::from_millis(100);
+
+/// Announces servers that have ended and are up again, as the next incarnation.
+async fn restart_ended(fleet: &[Arc<TestGateway>], servers: &[Arc<ScriptedServer>]) {
+    let mut announced = vec![0; servers.len()];
+    let mut ticks = interval(Duration::from_millis(20));
+    loop {
+        ticks.tick().await;
+        for (server, announced) in servers.iter().zip(&mut announced) {
+            let crashes = *server.crashes.borrow();
+            if crashes > *announced && !server.is_down() {
+                *announced = crashes;
+                let mut restarted = announcement(server, ServerState::Ready, 1);
+                restarted.incarnation = ServerIncarnation(1 + crashes);
+                fleet[0].replicas.apply(&Command::Announce(Arc::new(restarted)));
+            }
+        }
+    }
+}
+
+/// Sends a request to the entries in turn, each time with another id, until `end`.
+async fn send_in_turn(
+    fleet: Vec<Arc<TestGateway>>,
+    period: Duration,
+    target: impl Fn(usize) -> String,
+    end: Instant,
+) -> Vec<(Instant, TestAnswer)> {
+    let mut requests = JoinSet::new();
+    let mut ticks = interval(period);
+    for number in 0.. {
+        ticks.tick().await;
+        if Instant::now() >= end {
+            break;
+        }
+        let (gateway, target) = (fleet[number % fleet.len()].clone(), target(number));
+        requests.spawn(async move {
+            let id = format!("{target}-{number}");
+            (Instant::now(), gateway.send("GET", &target, &id).await)
+        });
+    }
+    requests.join_all().await
+}
+
+/// Pattern: a request makes servers end, and its caller sends it again and again, to any entry.
+/// Guards against a request that ends one server after the other until the service is gone.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn request_that_ended_three_servers_is_no_longer_sent() {
+    let mut servers = Vec::new();
+    for number in 0..12 {
+        let (name, domain) = (format!("s{number}"), ["a", "b"][number % 2]);
+        let server = ScriptedServer::start(&name, domain, Script::Answer(200, 60)).await;
+        *server.crashed_by.lock() = "/fatal".to_owned();
+        servers.push(server);
+    }
+    let listed: Vec<&Arc<ScriptedServer>> = servers.iter().collect();
+    let fleet = TestGateway::start_fleet(6, routing(1, 2), &listed).await;
+    let fleet: Vec<Arc<TestGateway>> = fleet.into_iter().map(Arc::new).collect();
+    let end = Instant::now() + LOAD_TIME;
+    let (restarted, watched) = (fleet.clone(), servers.clone());
+    let restarts = tokio::spawn(async move { restart_ended(&restarted, &watched).await });
+    let fatal = send_in_turn(fleet.clone(), REPEAT_PERIOD, |_| "/read/fatal".to_owned(), end);
+    let mut others = JoinSet::new();
+    for gateway in &fleet {
+        let target = |number| format!("/read/x{number}");
+        others.spawn(send_in_turn(vec![gateway.clone()], REQUEST_PERIOD, target, end));
+    }
+    let (fatal, others) = (fatal.await, others.join_all().await);
+    restarts.abort();
+    let ended: u64 = servers.iter().map(|server| *server.crashes.borrow()).sum();
+    let mut fatal_runs: Vec<Instant> =
+        servers.iter().flat_map(|server| server.fatal_run_times.lock().clone()).collect();
+    fatal_runs.sort();
+    assert!(fatal_runs.len() >= 3, "the request did not end three servers");
+    let adapted = fatal_runs[2] + ADAPT_TIME;
+    let late = fatal_runs.iter().filter(|run| **run > adapted).count();
+    assert!(late <= MAX_LATE_RUNS, "sent {late} times more; {ended} servers ended in all");
+    let is_late = |(sent, _): &&(Instant, TestAnswer)| *sent > adapted;
+    for (_, answer) in fatal.iter().filter(is_late).skip(MAX_LATE_RUNS) {
+        assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE, "{answer:?}");
+        assert!(answer.headers.contains_key("retry-after"));
+    }
+    let others: Vec<_> = others.iter().flatten().filter(is_late).collect();
+    let served = others.iter().filter(|(_, answer)| answer.status == StatusCode::OK).count();
+    assert!(served * 100 >= others.len() * 98, "{served} of {} others served", others.len());
+}
--- a/crates/gateway/tests/harness/mod.rs
+++ b/crates/gateway/tests/harness/mod.rs
@@ -16,7 +16,7 @@
 use parking_lot::Mutex;
 use peer::{
     FreshnessAnswer, FreshnessGrant, PeerAnswer, PeerError, PeerLink, PeerRequest, PeerTarget,
-    ViewTransfer,
+    SubmitAnswer, ViewTransfer,
 };
 use policy::{BudgetLimits, ServerLoad, StartupWait};
 use runtime::{EventTimeline, LogFormat, MetricsRegistry, TimerService, root_logger};
@@ -30,6 +30,7 @@
 };
 use tokio::{
     net::{TcpListener, TcpStream},
+    sync::watch,
     time::sleep,
 };
 use types::{
@@ -80,8 +81,19 @@
     pub limit_milli: Mutex<Option<u32>>,
     /// Whether only answers to requests state the limit, and none to probes.
     pub hides_limit_from_probes: AtomicBool,
+    /// Requests whose target contains this text make the server end. Empty if none does.
+    pub crashed_by: Mutex<String>,
+    /// When such requests began to run.
+    pub fatal_run_times: Mutex<Vec<Instant>>,
+    /// Number of times that the server has ended under a request. All its connections break off then.
+    pub crashes: watch::Sender<u64>,
+    /// Until when the server accepts no connections after it has ended.
+    down_until: Mutex<Option<Instant>>,
 }
 
+/// Time for which a server is down after it has ended under a request.
+const DOWN_TIME: Duration = Duration::from_millis(800);
+
 impl ScriptedServer {
     pub async fn start(name: &str, domain: &str, script: Script) -> Arc<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
@@ -103,24 +115,40 @@
             sheds_for: Mutex::default(),
             limit_milli: Mutex::default(),
             hides_limit_from_probes: AtomicBool::new(false),
+            crashed_by: Mutex::default(),
+            fatal_run_times: Mutex::default(),
+            crashes: watch::Sender::new(0),
+            down_until: Mutex::default(),
         });
         let acceptor = server.clone();
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
                 let server = acceptor.clone();
+                if server.is_down() {
+                    continue;
+                }
+                let mut crashes = server.crashes.subscribe();
                 tokio::spawn(async move {
                     let service = service_fn(move |request| {
                         let server = server.clone();
                         async move { server.answer(request).await }
                     });
                     let http = hyper::server::conn::http1::Builder::new();
-                    let _ = http.serve_connection(TokioIo::new(stream), service).await;
+                    tokio::select! {
+                        _ = http.serve_connection(TokioIo::new(stream), service) => {}
+                        _ = crashes.changed() => {}
+                    }
                 });
             }
         });
         server
     }
 
+    /// Returns whether the server is down after it has ended.
+    pub fn is_down(&self) -> bool {
+        self.down_until.lock().is_some_and(|until| Instant::now() < until)
+    }
+
     pub fn runs(&self) -> usize {
         self.runs.load(Ordering::SeqCst)
     }
@@ -155,6 +183,14 @@
             let status = if *self.is_healthy.lock() { 200 } else { 503 };
             return Ok(builder.status(status).body(Full::default()).expect("valid"));
         }
+        let crashed_by = self.crashed_by.lock().clone();
+        if !crashed_by.is_empty() && request.uri().to_string().contains(&crashed_by) {
+            self.fatal_run_times.lock().push(Instant::now());
+            sleep(Duration::from_millis(30)).await;
+            *self.down_until.lock() = Some(Instant::now() + DOWN_TIME);
+            self.crashes.send_modify(|count| *count += 1);
+            return Err(std::io::ErrorKind::ConnectionReset.into());
+        }
         let id = request.headers().get("x-id").cloned();
         let expected = request.headers().get("x-server").cloned();
         assert_eq!(expected.as_ref().and_then(|e| e.to_str().ok()), Some(self.name.as_str()));
@@ -268,8 +304,13 @@
         request: PeerRequest,
         _timeout: Duration,
     ) -> Result<PeerAnswer, PeerError> {
-        let PeerRequest::Freshness(request) = request else {
-            return Ok(PeerAnswer::Done);
+        let request = match request {
+            PeerRequest::Freshness(request) => request,
+            PeerRequest::Submit(command) => {
+                let answer = self.state.lock().apply(LogTime(1), &command);
+                return Ok(PeerAnswer::Submit(SubmitAnswer::Applied(answer)));
+            }
+            _ => return Ok(PeerAnswer::Done),
         };
         let update: ViewUpdate = self.state.lock().update_since(request.version);
         let domain = "a".parse().expect("name");
