--- a/crates/control/src/error.rs
+++ b/crates/control/src/error.rs
@@ -27,4 +27,7 @@
     /// The announcement is not valid.
     #[error("announcement: {0}")]
     InvalidAnnouncement(String),
+    /// A report about requests has more findings than this replica takes; holds their number.
+    #[error("report: {0} findings are too many")]
+    InvalidReport(usize),
 }
--- a/crates/control/src/plane.rs
+++ b/crates/control/src/plane.rs
@@ -18,13 +18,16 @@
 };
 use tokio::time::timeout;
 use types::{
-    AnnounceDecision, Announcement, Command, CommandAnswer, DomainName, RoutingDecision,
-    RoutingDocument, RoutingVersion, ServerName, ServerState, SourceText,
+    AnnounceDecision, Announcement, Command, CommandAnswer, DomainName, RequestReport,
+    RoutingDecision, RoutingDocument, RoutingVersion, ServerName, ServerState, SourceText,
 };
 
 /// Timeout of a decision. Shorter than the 1 s for which clients of the control plane wait.
 const DECISION_TIMEOUT: Duration = Duration::from_millis(900);
 
+/// Maximum number of findings in a report about requests.
+const MAX_REPORTED_REQUESTS: usize = 256;
+
 /// Requests that operators and servers may send to a replica.
 #[async_trait]
 pub trait ControlPlane: Send + Sync {
@@ -91,6 +94,24 @@
         }
     }
 
+    /// Records what an entry reports about requests that end servers.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the report is too long, or if no leader takes it in time.
+    pub async fn record_requests(&self, report: RequestReport) -> Result<(), ControlError> {
+        if report.crashes.len() + report.answered.len() > MAX_REPORTED_REQUESTS {
+            self.counters.count("request-report-invalid");
+            return Err(ControlError::InvalidReport(report.crashes.len() + report.answered.len()));
+        }
+        let (crashes, answered) = (report.crashes.len(), report.answered.len());
+        let result = self.submit(Command::ReportRequests(report)).await.map(|_| ());
+        self.counters.count("request-report");
+        info!(self.logger, "request report"; "crashes" => crashes, "answered" => answered,
+            "outcome" => outcome_text(&result));
+        result
+    }
+
     /// Refuses announcements with invalid values, of unknown failure domains, or of a registered
     /// server with an undeclared service, before they are submitted.
     fn check_announcement(&self, announcement: &Announcement) -> Result<(), ControlError> {
--- a/crates/daemon/src/handler.rs
+++ b/crates/daemon/src/handler.rs
@@ -1,6 +1,7 @@
 //! Dispatches requests of other processes to the role that handles them.
 
 use async_trait::async_trait;
+use control::ReplicaControl;
 use entry::EntryNode;
 use peer::{PeerAnswer, PeerHandler, PeerRequest};
 use replica::ReplicaHandle;
@@ -12,6 +13,7 @@
 pub(crate) struct RoleHandler {
     pub(crate) replica: OnceLock<ReplicaHandle>,
     pub(crate) entry: OnceLock<Arc<EntryNode>>,
+    pub(crate) control: OnceLock<Arc<ReplicaControl>>,
 }
 
 #[async_trait]
@@ -27,6 +29,13 @@
                 Some(replica) => replica.handle(host, request).await,
                 None => None,
             },
+            PeerRequest::ReportRequests(report) => match self.control.get() {
+                Some(control) => Some(match control.record_requests(report.clone()).await {
+                    Ok(()) => PeerAnswer::Done,
+                    Err(error) => PeerAnswer::Refused(error.to_string()),
+                }),
+                None => None,
+            },
             _ => match self.entry.get() {
                 Some(entry) => entry.handle(host, request).await,
                 None => None,
--- a/crates/daemon/src/site.rs
+++ b/crates/daemon/src/site.rs
@@ -234,6 +234,8 @@
             self.metrics.decisions("control", "Decisions on orders and announcements"),
             self.logger.clone(),
         );
+        // Each role starts once, so the cell is still empty.
+        let _ = self.roles.control.set(control.clone());
         if let Some(address) = settings.listen.control {
             tokio::spawn(serve_control(listen(address).await?, control.clone()));
         }
--- a/crates/follow/src/leader.rs
+++ b/crates/follow/src/leader.rs
@@ -12,13 +12,14 @@
     FreshnessRequest, PeerAnswer, PeerError, PeerLink, PeerRequest, PeerTarget, SubmitAnswer,
     replicas_digest,
 };
+use rand::seq::SliceRandom;
 use runtime::ReplicaAddress;
 use std::{
     pin::pin,
     sync::Arc,
     time::{Duration, Instant},
 };
-use types::{ClusterView, Command, CommandAnswer, ViewVersion};
+use types::{ClusterView, Command, CommandAnswer, RequestReport, ViewVersion};
 
 /// Time allowed for one attempt to submit a command or a membership change.
 const SUBMIT_TIMEOUT: Duration = Duration::from_millis(700);
@@ -218,6 +219,25 @@
         grant.update.apply_to(&ClusterView::default()).ok()
     }
 
+    /// Reports requests that end servers to any replica, and to others if it does not take the report.
+    /// Returns whether one has taken it by the deadline.
+    pub async fn report_requests(&self, report: RequestReport, deadline: Instant) -> bool {
+        let mut targets = self.replicas_and_seeds();
+        targets.shuffle(&mut rand::rng());
+        let request = PeerRequest::ReportRequests(report);
+        for target in targets {
+            let left = deadline.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return false;
+            }
+            let answer = self.link.call(&target, request.clone(), left.min(SUBMIT_TIMEOUT)).await;
+            if matches!(answer, Ok(PeerAnswer::Done)) {
+                return true;
+            }
+        }
+        false
+    }
+
     /// Submits a command repeatedly until its outcome is known or the deadline passes. The command
     /// must be idempotent, because it may be applied more than once.
     pub async fn submit(&self, command: Command, deadline: Instant) -> SubmitResult {
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -13,9 +13,9 @@
 use http::{HeaderMap, HeaderValue, Method, Request, StatusCode, Uri, header};
 use http_body_util::Full;
 use policy::SignalSource;
-use std::{sync::Arc, time::Instant};
+use std::{collections::BTreeMap, sync::Arc, time::Instant};
 use tokio::time::timeout_at;
-use types::RequestFingerprint;
+use types::{HeadHash, QuarantineStage, RequestFingerprint};
 
 /// Size above which a body is streamed instead of held, in bytes. A response whose body breaks off
 /// before that is not forwarded, so that the request may be repeated.
@@ -38,9 +38,27 @@
 impl PreparedRequest {
     /// Returns the fingerprint that identifies requests which are alike.
     pub(crate) fn fingerprint(&self) -> RequestFingerprint {
+        RequestFingerprint::new(self.head_hash(), &self.body)
+    }
+
+    /// Returns the request's stage in the quarantine, or `None` if it is not there. Hashes the body
+    /// only if a request with the same head is there.
+    pub(crate) fn quarantine_stage(
+        &self,
+        quarantine: &BTreeMap<RequestFingerprint, QuarantineStage>,
+    ) -> Option<QuarantineStage> {
+        if quarantine.is_empty() {
+            return None;
+        }
+        let (first, last) = RequestFingerprint::range(self.head_hash());
+        quarantine.range(first..=last).next()?;
+        quarantine.get(&self.fingerprint()).copied()
+    }
+
+    fn head_hash(&self) -> HeadHash {
         let host = self.headers.get(header::HOST).map_or(&[][..], HeaderValue::as_bytes);
-        let host = String::from_utf8_lossy(host);
-        RequestFingerprint::new(self.method.as_str(), &host, &self.target.to_string(), &self.body)
+        let (host, target) = (String::from_utf8_lossy(host), self.target.to_string());
+        HeadHash::new(self.method.as_str(), &host, &target, self.body.len())
     }
 }
 
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -1,6 +1,11 @@
 //! A caller's request and its state while it is forwarded.
 
-use crate::{attempt::PreparedRequest, body::MemoryReservation};
+use crate::{
+    attempt::PreparedRequest,
+    body::MemoryReservation,
+    crash_reporter::{FindingSender, RequestFinding},
+    servers::BackendServer,
+};
 use bytes::Bytes;
 use http::{HeaderMap, Method, Uri};
 use parking_lot::Mutex;
@@ -11,7 +16,7 @@
     sync::Arc,
     time::{Duration, Instant},
 };
-use types::{ClusterView, PoolSpec, RouteSpec, ServerName};
+use types::{ClusterView, PoolSpec, QuarantineStage, RouteSpec, ServerName};
 
 /// A complete request from a caller.
 pub(crate) struct CallerRequest {
@@ -37,6 +42,27 @@
     pub(crate) earlier_attempts_time: Duration,
     pub(crate) view: Arc<ClusterView>,
     pub(crate) attempt_log: Mutex<AttemptLog>,
+    /// The request's stage in the quarantine when it arrived.
+    pub(crate) stage: Option<QuarantineStage>,
+    pub(crate) findings: FindingSender,
+}
+
+impl Drop for ForwardedCall {
+    /// Reports what the request did to servers, also if its caller has left meanwhile.
+    fn drop(&mut self) {
+        let attempt_log = self.attempt_log.get_mut();
+        if attempt_log.was_answered {
+            if self.stage.is_some() {
+                let request = self.request.fingerprint();
+                self.findings.send(RequestFinding::Answered(request));
+            }
+        } else if !attempt_log.lost.is_empty() {
+            let request = self.request.fingerprint();
+            let servers = std::mem::take(&mut attempt_log.lost);
+            let pool = self.pool.clone();
+            self.findings.send(RequestFinding::Lost { request, pool, servers });
+        }
+    }
 }
 
 impl ForwardedCall {
@@ -69,9 +95,14 @@
         if latest_start > now { latest_start.min(end) } else { end }
     }
 
-    /// Returns whether the route's `max_attempts` allows another attempt. Hedged attempts count.
+    /// Returns whether the route's `max_attempts` allows another attempt. Hedged attempts count. A
+    /// request that is suspected of ending servers gets a single attempt.
     pub(crate) fn may_add_attempt(&self) -> bool {
-        self.attempt_log.lock().tried.len() < usize::from(self.route.max_attempts)
+        let limit = match self.stage {
+            Some(_) => 1,
+            None => usize::from(self.route.max_attempts),
+        };
+        self.attempt_log.lock().tried.len() < limit
     }
 }
 
@@ -84,6 +115,10 @@
     pub(crate) summary: String,
     /// Number of servers that were probed in searches that found a server; others are not counted.
     pub(crate) probe_count: usize,
+    /// Servers of attempts that ended without an answer.
+    pub(crate) lost: SmallVec<[Arc<BackendServer>; 2]>,
+    /// Whether a server has answered the request, with whatever status.
+    pub(crate) was_answered: bool,
     /// Whether a server may have run the request.
     pub(crate) may_have_run: bool,
     /// Whether the server of the last attempt had a free slot when it was probed.
--- /dev/null
+++ b/crates/gateway/src/crash_reporter.rs
@@ -0,0 +1,136 @@
+//! Reports requests under which servers ended, so that all entries stop sending them.
+
+use crate::{placer::ServerPlacer, servers::BackendServer};
+use follow::LeaderClient;
+use futures_util::future::join_all;
+use runtime::{DecisionCounters, Logger};
+use slog::{info, warn};
+use smallvec::SmallVec;
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+use tokio::{sync::mpsc, time::sleep};
+use types::{CrashReport, PoolSpec, RequestFingerprint, RequestReport};
+
+/// Maximum number of findings that wait to be reported. Others are dropped and counted.
+const MAX_QUEUED: usize = 256;
+/// Maximum number of findings in one report.
+const MAX_REPORTED: usize = 32;
+/// Time in which findings are collected for one report.
+const COLLECT_TIME: Duration = Duration::from_millis(50);
+/// Time allowed for one report.
+const REPORT_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// What the end of a request says about it.
+pub(crate) enum RequestFinding {
+    /// No server answered the request, and attempts at these servers were lost.
+    Lost {
+        /// The request.
+        request: RequestFingerprint,
+        /// The service of the servers.
+        pool: PoolSpec,
+        /// The servers.
+        servers: SmallVec<[Arc<BackendServer>; 2]>,
+    },
+    /// A server answered a request that is in quarantine.
+    Answered(RequestFingerprint),
+}
+
+/// Takes findings without waiting.
+#[derive(Clone)]
+pub(crate) struct FindingSender {
+    findings: mpsc::Sender<RequestFinding>,
+    counters: DecisionCounters,
+}
+
+/// Checks which servers have ended and reports to the replicas.
+pub(crate) struct CrashReporter {
+    pub(crate) placer: Arc<ServerPlacer>,
+    pub(crate) leader: Arc<LeaderClient>,
+    pub(crate) counters: DecisionCounters,
+    pub(crate) logger: Logger,
+}
+
+impl FindingSender {
+    /// Queues a finding.
+    pub(crate) fn send(&self, finding: RequestFinding) {
+        if self.findings.try_send(finding).is_err() {
+            self.counters.count("crash-report-dropped");
+        }
+    }
+}
+
+impl CrashReporter {
+    /// Starts the reporter. Returns where findings are sent.
+    pub(crate) fn start(self) -> FindingSender {
+        let (findings, queue) = mpsc::channel(MAX_QUEUED);
+        let counters = self.counters.clone();
+        tokio::spawn(self.run(queue));
+        FindingSender { findings, counters }
+    }
+
+    async fn run(self, mut queue: mpsc::Receiver<RequestFinding>) {
+        while let Some(first) = queue.recv().await {
+            sleep(COLLECT_TIME).await;
+            let mut findings = vec![first];
+            while findings.len() < MAX_REPORTED
+                && let Ok(finding) = queue.try_recv()
+            {
+                findings.push(finding);
+            }
+            let report = self.examine(findings).await;
+            if report != RequestReport::default() {
+                self.send(report).await;
+            }
+        }
+    }
+
+    /// Checks whether the servers of lost attempts have ended. A server that still answers has only
+    /// lost a connection or an answer.
+    async fn examine(&self, findings: Vec<RequestFinding>) -> RequestReport {
+        let mut report = RequestReport::default();
+        let mut checks = Vec::new();
+        for finding in findings {
+            match finding {
+                RequestFinding::Answered(request) if !report.answered.contains(&request) => {
+                    report.answered.push(request);
+                }
+                RequestFinding::Answered(_) => {}
+                RequestFinding::Lost { request, pool, servers } => {
+                    let check = |server| self.check(request, pool.clone(), server);
+                    checks.extend(servers.into_iter().map(check));
+                }
+            }
+        }
+        report.crashes = join_all(checks).await.into_iter().flatten().collect();
+        report
+    }
+
+    async fn check(
+        &self,
+        request: RequestFingerprint,
+        pool: PoolSpec,
+        server: Arc<BackendServer>,
+    ) -> Option<CrashReport> {
+        if !self.placer.has_ended(&server, &pool.health_path).await {
+            return None;
+        }
+        info!(self.logger, "server ended under a request"; "server" => %server.name,
+            "incarnation" => server.incarnation.0, "fingerprint" => %request);
+        let (server, incarnation) = (server.name.clone(), server.incarnation);
+        Some(CrashReport { request, server, incarnation })
+    }
+
+    async fn send(&self, report: RequestReport) {
+        let (crashes, answered) = (report.crashes.len(), report.answered.len());
+        let deadline = Instant::now() + REPORT_TIMEOUT;
+        if self.leader.report_requests(report, deadline).await {
+            self.counters.count("crash-report-sent");
+        } else {
+            self.counters.count("crash-report-failed");
+            warn!(self.logger, "replicas did not take the report about requests";
+                "crashes" => crashes, "answered" => answered);
+        }
+    }
+}
--- a/crates/gateway/src/final_answer.rs
+++ b/crates/gateway/src/final_answer.rs
@@ -6,6 +6,10 @@
 use http::StatusCode;
 use policy::{CapacityForecast, retry_delay};
 use std::time::Duration;
+use types::QUARANTINE_MS;
+
+/// Retry time of a blocked request: how long it stays blocked.
+const QUARANTINE_TIME: Duration = Duration::from_millis(QUARANTINE_MS);
 
 /// Builds the caller's response from the result of the attempts. Also returns the outcome's name in
 /// logs and counters.
@@ -53,6 +57,10 @@
                     "held",
                     wait.map_or(until_slot, CapacityForecast::After),
                 ),
+                PlaceError::Quarantined => {
+                    let reason = "not run: servers ended under requests like this one";
+                    return (GatewayAnswer::refused(reason, QUARANTINE_TIME), "quarantined");
+                }
             };
             (GatewayAnswer::refused(reason, retry_after(forecast)), outcome)
         }
--- a/crates/gateway/src/forwarder.rs
+++ b/crates/gateway/src/forwarder.rs
@@ -6,6 +6,7 @@
     attempt::{AttemptResult, PreparedRequest, run_attempt},
     body::BodyMemory,
     call::{CallerRequest, ForwardedCall},
+    crash_reporter::FindingSender,
     final_answer::final_answer,
     placer::{PlaceError, ProbedServer, ServerPlacer},
     routes::InstalledRoutes,
@@ -31,7 +32,7 @@
     sync::watch,
     time::{sleep_until, timeout_at},
 };
-use types::{CallerLimits, ClusterView, RouteSpec, ServerName, ServiceName};
+use types::{CallerLimits, ClusterView, QuarantineStage, RouteSpec, ServerName, ServiceName};
 
 /// Base of the retry time that callers get while the entry has no routes: the typical time from the
 /// start of an entry until it has routes.
@@ -63,7 +64,7 @@
 
 /// Forwards the requests of one entry.
 pub(crate) struct RequestForwarder {
-    pub(crate) placer: ServerPlacer,
+    pub(crate) placer: Arc<ServerPlacer>,
     pub(crate) dialect: Arc<dyn WireDialect>,
     pub(crate) memory: Arc<BodyMemory>,
     pub(crate) view: Arc<RwLock<Arc<ClusterView>>>,
@@ -73,13 +74,15 @@
     pub(crate) budget: BudgetLimits,
     pub(crate) metrics: ForwardMetrics,
     pub(crate) logger: Logger,
+    findings: FindingSender,
     services: Mutex<HashMap<ServiceName, ServiceState>>,
     caller_timeouts: Mutex<HashMap<Arc<str>, CallerTimeouts>>,
 }
 
 impl RequestForwarder {
     pub(crate) fn new(
-        placer: ServerPlacer,
+        placer: Arc<ServerPlacer>,
+        findings: FindingSender,
         view: Arc<RwLock<Arc<ClusterView>>>,
         budget: BudgetLimits,
         startup_wait: StartupWait,
@@ -89,6 +92,7 @@
         let (dialect, memory) = (placer.dialect.clone(), placer.memory.clone());
         Arc::new(Self {
             placer,
+            findings,
             dialect,
             memory,
             view,
@@ -164,6 +168,7 @@
         let request =
             PreparedRequest { id, method, target, headers, body, caller_deadline, deadline };
         let view = self.view.read().clone();
+        let stage = request.quarantine_stage(view.quarantine());
         let is_idempotent = route.is_idempotent;
         let earlier_attempts_time =
             self.record_caller_timeout(&route, arrived, metadata.time_allowed);
@@ -177,6 +182,8 @@
             earlier_attempts_time,
             view,
             attempt_log,
+            stage,
+            findings: self.findings.clone(),
         };
         self.with_service(&call.pool.service, |state| {
             state.budget.record_request(arrived, &self.budget);
@@ -240,6 +247,9 @@
     async fn run_attempts(&self, call: &ForwardedCall) -> Result<AttemptResult, PlaceError> {
         let mut last: Option<AttemptResult> = None;
         while call.may_add_attempt() {
+            if self.is_blocked(call) {
+                return last.ok_or(PlaceError::Quarantined);
+            }
             if last.is_some() && !self.take_retry(call, last.as_ref()) {
                 break;
             }
@@ -257,6 +267,12 @@
         last.ok_or(PlaceError::NoServers)
     }
 
+    /// Returns whether the request is blocked by now because servers ended under it.
+    fn is_blocked(&self, call: &ForwardedCall) -> bool {
+        let view = self.view.read().clone();
+        call.request.quarantine_stage(view.quarantine()) == Some(QuarantineStage::Blocked)
+    }
+
     /// Takes a retry from the budget if the request may be sent again after `last`. Returns whether
     /// a retry was taken.
     fn take_retry(&self, call: &ForwardedCall, last: Option<&AttemptResult>) -> bool {
@@ -322,7 +338,10 @@
         let age = probed.probed_at.elapsed();
         call.attempt_log.lock().tried.push(name.clone());
         let is_cold = probed.candidate.is_cold;
-        let result = if is_listed {
+        let server = probed.server.clone();
+        let result = if self.is_blocked(call) {
+            AttemptResult::NotRun("servers ended under requests like this one".to_owned())
+        } else if is_listed {
             run_attempt(&call.request, probed, &self.dialect, &self.memory).await
         } else {
             AttemptResult::NotRun("the server has just left".to_owned())
@@ -338,6 +357,13 @@
         }
         let mut attempt_log = call.attempt_log.lock();
         attempt_log.had_free_slot = load.running < load.slots;
+        match &result {
+            AttemptResult::Answered(_) | AttemptResult::Failed(_) => {
+                attempt_log.was_answered = true
+            }
+            AttemptResult::Unknown(_) => attempt_log.lost.push(server),
+            AttemptResult::NotRun(_) | AttemptResult::TimedOut => {}
+        }
         attempt_log.may_have_run |= !matches!(result, AttemptResult::NotRun(_));
         let reason = match &result {
             AttemptResult::NotRun(reason) | AttemptResult::Unknown(reason) => reason.as_str(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 mod body;
 mod call;
 mod connection;
+mod crash_reporter;
 mod dialect;
 mod final_answer;
 mod forwarder;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -3,6 +3,7 @@
 use crate::{
     GatewayListener, WireDialect,
     body::BodyMemory,
+    crash_reporter::CrashReporter,
     forwarder::{ForwardMetrics, RequestForwarder},
     listener::StopStage,
     placer::ServerPlacer,
@@ -110,6 +111,7 @@
             let routes = InstalledRoutes { document: document.clone(), table };
             self.forwarder.routes.send_replace(Some(Arc::new(routes)));
         }
+        self.log_quarantine(&view);
         *self.view.write() = view;
     }
 
@@ -122,6 +124,23 @@
     }
 }
 
+impl GatewayViewStore {
+    /// Logs the requests that enter the quarantine, change their stage there, or leave it.
+    fn log_quarantine(&self, view: &ClusterView) {
+        let previous = self.view.read().clone();
+        let (old, new) = (previous.quarantine(), view.quarantine());
+        let logger = &self.forwarder.logger;
+        for (request, stage) in
+            new.iter().filter(|(request, stage)| old.get(*request) != Some(*stage))
+        {
+            info!(logger, "quarantine"; "fingerprint" => %request, "stage" => ?stage);
+        }
+        for request in old.keys().filter(|request| !new.contains_key(*request)) {
+            info!(logger, "quarantine"; "fingerprint" => %request, "stage" => "left");
+        }
+    }
+}
+
 impl GatewayNode {
     /// Binds the callers' address and starts the entry's tasks.
     ///
@@ -139,12 +158,18 @@
             TcpListener::bind(address).await.map_err(|source| GatewayError { address, source })?;
         let view = Arc::new(RwLock::new(Arc::new(ClusterView::default())));
         let table = Arc::new(ServerTable::new(settings.info.name.clone(), logger.clone()));
-        let placer = ServerPlacer {
+        let placer = Arc::new(ServerPlacer {
             entry: settings.info.name.clone(),
             domain: settings.info.domain.clone(),
             table: table.clone(),
             dialect,
             memory: BodyMemory::new(settings.body_memory_bytes),
+        });
+        let reporter = CrashReporter {
+            placer: placer.clone(),
+            leader: leader.clone(),
+            counters: metrics.decisions("crash_reports", "Reports of requests that end servers"),
+            logger: logger.clone(),
         };
         let forward_metrics = ForwardMetrics {
             requests: metrics.decisions("requests", "Ends of callers' requests"),
@@ -154,6 +179,7 @@
         };
         let forwarder = RequestForwarder::new(
             placer,
+            reporter.start(),
             view.clone(),
             settings.budget,
             settings.startup_wait,
--- a/crates/gateway/src/placer.rs
+++ b/crates/gateway/src/placer.rs
@@ -1,9 +1,9 @@
 //! Places requests: probes a few servers for their load and takes the best one.
 
 use crate::{
-    WireDialect,
+    AnswerMetadata, WireDialect,
     body::BodyMemory,
-    server_connection::ServerConnection,
+    server_connection::{ServerAnswer, ServerConnection},
     servers::{BackendServer, ServerTable},
 };
 use bytes::Bytes;
@@ -17,10 +17,12 @@
 use rand::seq::SliceRandom;
 use smallvec::SmallVec;
 use std::{
+    io::ErrorKind,
     sync::Arc,
     time::{Duration, Instant},
 };
 use tokio::{
+    net::TcpStream,
     task::JoinHandle,
     time::{timeout, timeout_at},
 };
@@ -37,6 +39,9 @@
 /// timeout of a repeated probe of a server. Responses to probes take up to 10 ms, including
 /// connection setup.
 const GROUP_TIMEOUT: Duration = Duration::from_millis(25);
+/// Number of connects without any reaction after which a server counts as ended. A single lost packet
+/// delays a connect by more than [`PROBE_TIMEOUT`].
+const MAX_SILENT_CONNECTS: usize = 2;
 /// Maximum size of the body of a response to a probe, in bytes.
 const MAX_PROBE_BODY_BYTES: usize = 4 * 1024;
 /// Maximum age of a load report that a placement uses. Load changes within milliseconds.
@@ -89,6 +94,8 @@
     /// All servers are leaving, shed load, or limit requests and may not receive one from this entry
     /// now. Holds the time after which the first may receive one; `None` if none may.
     Held(Option<Duration>),
+    /// Servers ended under requests like this one.
+    Quarantined,
 }
 
 /// The requirements of a request on its server.
@@ -237,7 +244,7 @@
         stale: ProbedServer,
         request: &PlaceRequest<'_>,
     ) -> Option<ProbedServer> {
-        let probe = self.probe(&stale.server, request);
+        let probe = self.probe(&stale.server, &request.pool.health_path);
         let answer = timeout(GROUP_TIMEOUT, probe.send_on(stale.connection)).await;
         let ProbeAnswer { connection, candidate, .. } = answer.ok().flatten()?;
         Some(ProbedServer {
@@ -346,18 +353,29 @@
         }
     }
 
+    /// Returns whether a server has ended, to judge by a new connection. A server that wants no probes
+    /// counts as running.
+    pub(crate) async fn has_ended(
+        &self,
+        server: &Arc<BackendServer>,
+        health_path: &Arc<str>,
+    ) -> bool {
+        server.held_until(Instant::now()).is_none()
+            && self.probe(server, health_path).has_ended().await
+    }
+
     fn start_probe(
         &self,
         server: &Arc<BackendServer>,
         request: &PlaceRequest<'_>,
     ) -> JoinHandle<Option<ProbedServer>> {
-        tokio::spawn(self.probe(server, request).run())
+        tokio::spawn(self.probe(server, &request.pool.health_path).run())
     }
 
-    fn probe(&self, server: &Arc<BackendServer>, request: &PlaceRequest<'_>) -> ServerProbe {
+    fn probe(&self, server: &Arc<BackendServer>, health_path: &Arc<str>) -> ServerProbe {
         ServerProbe {
             server: server.clone(),
-            path: request.pool.health_path.clone(),
+            path: health_path.clone(),
             is_local: server.domain == self.domain,
             dialect: self.dialect.clone(),
             memory: self.memory.clone(),
@@ -433,7 +451,37 @@
         self.send_on(connection).await
     }
 
-    async fn send_on(&self, mut connection: ServerConnection) -> Option<ProbeAnswer> {
+    /// Returns whether nothing listens at the server's address, or another server does. A server that
+    /// accepts a connection and then resets it is running: servers do so when they are full.
+    async fn has_ended(&self) -> bool {
+        for _ in 0..MAX_SILENT_CONNECTS {
+            match timeout(PROBE_TIMEOUT, TcpStream::connect(self.server.address)).await {
+                Ok(Ok(stream)) => {
+                    let identified = timeout(PROBE_TIMEOUT, self.identify(stream)).await;
+                    return identified.ok().flatten().is_some_and(|name| !self.is_own_name(&name));
+                }
+                Ok(Err(error)) => return error.kind() == ErrorKind::ConnectionRefused,
+                Err(_) => {}
+            }
+        }
+        true
+    }
+
+    /// Returns the name of the server that answers on a stream.
+    async fn identify(&self, stream: TcpStream) -> Option<String> {
+        let mut connection = ServerConnection::on_stream(stream).await.ok()?;
+        self.exchange(&mut connection).await?.1.server
+    }
+
+    fn is_own_name(&self, name: &str) -> bool {
+        name == self.server.name.as_str()
+    }
+
+    /// Sends the probe and returns the answer.
+    async fn exchange(
+        &self,
+        connection: &mut ServerConnection,
+    ) -> Option<(ServerAnswer, AnswerMetadata)> {
         let request = Request::get(&*self.path)
             .header(header::HOST, self.server.address.to_string())
             .body(Full::new(Bytes::new()))
@@ -443,8 +491,13 @@
             return None;
         }
         let metadata = self.dialect.answer_metadata(&answer.headers);
+        Some((answer, metadata))
+    }
+
+    async fn send_on(&self, mut connection: ServerConnection) -> Option<ProbeAnswer> {
+        let (answer, metadata) = self.exchange(&mut connection).await?;
         // Ignores a response from another server or without a server name.
-        if metadata.server.as_deref() != Some(self.server.name.as_str()) {
+        if !metadata.server.as_deref().is_some_and(|name| self.is_own_name(name)) {
             return None;
         }
         let now = Instant::now();
--- a/crates/gateway/src/server_connection.rs
+++ b/crates/gateway/src/server_connection.rs
@@ -75,6 +75,12 @@
             .await
             .map_err(|_| not_sent("connect timed out".to_owned()))?
             .map_err(|error| not_sent(error.to_string()))?;
+        Self::on_stream(stream).await
+    }
+
+    /// Uses a connected stream.
+    pub(crate) async fn on_stream(stream: TcpStream) -> Result<Self, ExchangeError> {
+        let not_sent = |reason: String| ExchangeError::NotSent(reason);
         stream.set_nodelay(true).map_err(|error| not_sent(error.to_string()))?;
         SockRef::from(&stream)
             .set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))
--- a/crates/gateway/src/servers.rs
+++ b/crates/gateway/src/servers.rs
@@ -71,7 +71,7 @@
     pub(crate) domain: DomainName,
     pub(crate) address: SocketAddr,
     pub(crate) slots: u32,
-    incarnation: ServerIncarnation,
+    pub(crate) incarnation: ServerIncarnation,
     logger: Logger,
     state: Mutex<TrackedState>,
 }
--- a/crates/gateway/tests/harness/mod.rs
+++ b/crates/gateway/tests/harness/mod.rs
@@ -16,7 +16,7 @@
 use parking_lot::Mutex;
 use peer::{
     FreshnessAnswer, FreshnessGrant, PeerAnswer, PeerError, PeerLink, PeerRequest, PeerTarget,
-    SubmitAnswer, ViewTransfer,
+    ViewTransfer,
 };
 use policy::{BudgetLimits, ServerLoad, StartupWait};
 use runtime::{EventTimeline, LogFormat, MetricsRegistry, TimerService, root_logger};
@@ -87,8 +87,8 @@
     pub fatal_run_times: Mutex<Vec<Instant>>,
     /// Number of times that the server has ended under a request. All its connections break off then.
     pub crashes: watch::Sender<u64>,
-    /// Until when the server accepts no connections after it has ended.
-    down_until: Mutex<Option<Instant>>,
+    /// Whether the server has ended and does not listen.
+    is_down: Mutex<bool>,
 }
 
 /// Time for which a server is down after it has ended under a request.
@@ -118,35 +118,60 @@
             crashed_by: Mutex::default(),
             fatal_run_times: Mutex::default(),
             crashes: watch::Sender::new(0),
-            down_until: Mutex::default(),
+            is_down: Mutex::default(),
         });
         let acceptor = server.clone();
         tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                let server = acceptor.clone();
-                if server.is_down() {
-                    continue;
-                }
-                let mut crashes = server.crashes.subscribe();
-                tokio::spawn(async move {
-                    let service = service_fn(move |request| {
-                        let server = server.clone();
-                        async move { server.answer(request).await }
-                    });
-                    let http = hyper::server::conn::http1::Builder::new();
-                    tokio::select! {
-                        _ = http.serve_connection(TokioIo::new(stream), service) => {}
-                        _ = crashes.changed() => {}
-                    }
-                });
+            let mut listener = listener;
+            loop {
+                acceptor.serve(listener).await;
+                listener = acceptor.listen_again().await;
             }
         });
         server
     }
 
+    /// Accepts connections until the server ends under a request.
+    async fn serve(self: &Arc<Self>, listener: TcpListener) {
+        let mut crashes = self.crashes.subscribe();
+        loop {
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
+                _ = crashes.changed() => return,
+            };
+            let Ok((stream, _)) = accepted else {
+                return;
+            };
+            let (server, mut crashes) = (self.clone(), self.crashes.subscribe());
+            tokio::spawn(async move {
+                let service = service_fn(move |request| {
+                    let server = server.clone();
+                    async move { server.answer(request).await }
+                });
+                let http = hyper::server::conn::http1::Builder::new();
+                tokio::select! {
+                    _ = http.serve_connection(TokioIo::new(stream), service) => {}
+                    _ = crashes.changed() => {}
+                }
+            });
+        }
+    }
+
+    /// Listens on the same address again once the server's down time is over.
+    async fn listen_again(&self) -> TcpListener {
+        sleep(DOWN_TIME).await;
+        loop {
+            if let Ok(listener) = TcpListener::bind(self.address).await {
+                *self.is_down.lock() = false;
+                return listener;
+            }
+            sleep(Duration::from_millis(20)).await;
+        }
+    }
+
     /// Returns whether the server is down after it has ended.
     pub fn is_down(&self) -> bool {
-        self.down_until.lock().is_some_and(|until| Instant::now() < until)
+        *self.is_down.lock()
     }
 
     pub fn runs(&self) -> usize {
@@ -187,7 +212,7 @@
         if !crashed_by.is_empty() && request.uri().to_string().contains(&crashed_by) {
             self.fatal_run_times.lock().push(Instant::now());
             sleep(Duration::from_millis(30)).await;
-            *self.down_until.lock() = Some(Instant::now() + DOWN_TIME);
+            *self.is_down.lock() = true;
             self.crashes.send_modify(|count| *count += 1);
             return Err(std::io::ErrorKind::ConnectionReset.into());
         }
@@ -306,9 +331,9 @@
     ) -> Result<PeerAnswer, PeerError> {
         let request = match request {
             PeerRequest::Freshness(request) => request,
-            PeerRequest::Submit(command) => {
-                let answer = self.state.lock().apply(LogTime(1), &command);
-                return Ok(PeerAnswer::Submit(SubmitAnswer::Applied(answer)));
+            PeerRequest::ReportRequests(report) => {
+                self.apply(&Command::ReportRequests(report));
+                return Ok(PeerAnswer::Done);
             }
             _ => return Ok(PeerAnswer::Done),
         };
--- a/crates/peer/src/frame.rs
+++ b/crates/peer/src/frame.rs
@@ -8,7 +8,7 @@
 pub const MAX_FRAME_BYTES: usize = 64 * 1024 * 1024;
 
 /// Version of the message format. Frames with another version are rejected.
-const PROTOCOL_VERSION: u8 = 2;
+const PROTOCOL_VERSION: u8 = 3;
 
 /// Encodes a message as a frame.
 ///
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddr;
 use types::{
     Announcement, CallAnswer, CallRequest, ClusterView, Command, CommandAnswer, DomainName,
-    EntryInfo, EntryName, HostName, OwnerHeartbeat, RegistryDelta, RegistryRequest,
+    EntryInfo, EntryName, HostName, OwnerHeartbeat, RegistryDelta, RegistryRequest, RequestReport,
     ServerIncarnation, ServerName, SuspectReport, ViewChange, ViewUpdate, ViewVersion,
 };
 
@@ -37,6 +37,8 @@
     ReadIndex(ReadIndexRequest),
     /// Reports to the leader which servers have announced themselves; one-way.
     ServersSeen(Vec<(ServerName, ServerIncarnation)>),
+    /// Reports requests that end servers to any replica.
+    ReportRequests(RequestReport),
 }
 
 /// A consensus message with the sender's address.
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -11,6 +11,7 @@
 mod entry_info;
 mod names;
 mod outcome;
+mod quarantine;
 mod registry;
 mod request_fingerprint;
 mod routing;
@@ -30,11 +31,15 @@
 pub use entry_info::{EntryIncarnation, EntryInfo};
 pub use names::{DomainName, EntryName, HostName, NameError, ServerName, ServiceName, TeamName};
 pub use outcome::CallOutcome;
+pub use quarantine::{
+    BLOCKING_CRASHES, CrashLedger, CrashReport, QUARANTINE_MS, QuarantineChange, QuarantineStage,
+    RequestReport,
+};
 pub use registry::{
     OwnerHeartbeat, RegistryChange, RegistryDelta, RegistryRequest, RegistryVersion, ServerRecord,
     ServerStage, ShardOwnerId, SuspectKind, SuspectReport,
 };
-pub use request_fingerprint::RequestFingerprint;
+pub use request_fingerprint::{HeadHash, RequestFingerprint};
 pub use routing::{
     CallerLimits, PoolSpec, RoutePart, RouteSpec, RouteTable, RoutingDocument, RoutingError,
     RoutingPatch, RoutingVersion,
--- a/crates/types/src/state.rs
+++ b/crates/types/src/state.rs
@@ -8,10 +8,10 @@
 
 use crate::{
     Announcement, ChangeAction, ChangeAnswer, ChangeDigest, ChangeId, ChangeRequest, ClaimAnswer,
-    ClaimKey, ClaimRelease, ClaimRequest, ClaimResult, ClusterView, DocumentVersion, DomainName,
-    EntryIncarnation, EntryInfo, EntryName, LogTime, RefusalKind, RoutingDocument, RoutingVersion,
-    ServerIncarnation, ServerName, TeamDocument, VIEW_LOG_LIMIT, ViewChange, ViewError, ViewUpdate,
-    ViewVersion,
+    ClaimKey, ClaimRelease, ClaimRequest, ClaimResult, ClusterView, CrashLedger, DocumentVersion,
+    DomainName, EntryIncarnation, EntryInfo, EntryName, LogTime, QuarantineChange, RefusalKind,
+    RequestReport, RoutingDocument, RoutingVersion, ServerIncarnation, ServerName, TeamDocument,
+    VIEW_LOG_LIMIT, ViewChange, ViewError, ViewUpdate, ViewVersion,
 };
 use claims::{ClaimRecord, ClaimStage};
 use serde::{Deserialize, Serialize};
@@ -58,6 +58,8 @@
     /// Removes a server that sent no announcement for too long, unless it has restarted with
     /// another incarnation.
     Expire(ServerName, ServerIncarnation),
+    /// Records what an entry reports about requests that end servers.
+    ReportRequests(RequestReport),
 }
 
 impl Command {
@@ -69,6 +71,9 @@
             Self::Change(ChangeRequest { action: ChangeAction::Document(document), .. }) => {
                 SMALL_COMMAND_BYTES + document.services.len() * SERVICE_SPEC_BYTES
             }
+            Self::ReportRequests(report) => {
+                SMALL_COMMAND_BYTES * (1 + report.crashes.len() + report.answered.len())
+            }
             _ => SMALL_COMMAND_BYTES,
         }
     }
@@ -155,6 +160,7 @@
     /// The names in `departed`, oldest first.
     departed_order: VecDeque<ServerName>,
     routing_source: SourceText,
+    crashes: CrashLedger,
 }
 
 impl ClusterState {
@@ -209,6 +215,8 @@
     pub fn apply(&mut self, time: LogTime, command: &Command) -> CommandAnswer {
         self.time = self.time.max(time);
         self.expire_claims();
+        let expired = self.crashes.expire(self.time);
+        self.change_quarantine(expired);
         match command {
             Command::Change(change) => CommandAnswer::Change(self.decide_change(change)),
             Command::Claim(claim) => CommandAnswer::Claim(self.decide_claim(claim)),
@@ -224,6 +232,7 @@
             Command::Announce(announcement) => CommandAnswer::Announce(self.announce(announcement)),
             Command::Depart(server) => self.depart(server),
             Command::Expire(server, incarnation) => self.expire(server, *incarnation),
+            Command::ReportRequests(report) => self.record_report(report),
         }
     }
 
@@ -244,6 +253,23 @@
         Ok(())
     }
 
+    fn record_report(&mut self, report: &RequestReport) -> CommandAnswer {
+        let answered = report.answered.iter().filter_map(|r| self.crashes.record_answer(r));
+        let answered = answered.collect();
+        self.change_quarantine(answered);
+        for crash in &report.crashes {
+            let changes = self.crashes.record_crash(self.time, crash);
+            self.change_quarantine(changes);
+        }
+        CommandAnswer::Done
+    }
+
+    fn change_quarantine(&mut self, changes: Vec<QuarantineChange>) {
+        for (request, stage) in changes {
+            self.change_view(ViewChange::SetQuarantine(request, stage));
+        }
+    }
+
     fn change_view(&mut self, change: ViewChange) {
         self.view.apply(&change);
         self.recent.push_back(change);
--- a/crates/types/src/view.rs
+++ b/crates/types/src/view.rs
@@ -4,9 +4,9 @@
 //! missing changes; an entry that lags further is sent the whole view.
 
 use crate::{
-    Announcement, DocumentVersion, DomainName, EntryInfo, EntryName, RoutingDocument, RoutingPatch,
-    RoutingVersion, ServerIncarnation, ServerName, ServiceName, ServiceSpec, TeamDocument,
-    TeamName,
+    Announcement, DocumentVersion, DomainName, EntryInfo, EntryName, QuarantineStage,
+    RequestFingerprint, RoutingDocument, RoutingPatch, RoutingVersion, ServerIncarnation,
+    ServerName, ServiceName, ServiceSpec, TeamDocument, TeamName,
 };
 use serde::{Deserialize, Serialize};
 use std::{
@@ -62,6 +62,8 @@
     PutServer(Arc<Announcement>),
     /// A server has left, or has sent no announcement for too long.
     RemoveServer(ServerName),
+    /// A request enters the quarantine, changes its stage there, or leaves it (`None`).
+    SetQuarantine(RequestFingerprint, Option<QuarantineStage>),
 }
 
 /// Update that brings an entry to the current view.
@@ -96,7 +98,7 @@
     },
 }
 
-/// Configuration, drains, entries, range leases, routing and servers.
+/// Configuration, drains, entries, range leases, routing, servers and the quarantine of requests.
 ///
 /// Invariants: each service is held by exactly the team whose document declares it; every owner
 /// is a registered entry.
@@ -113,6 +115,7 @@
     used_ranges: BTreeSet<RangeIndex>,
     routing: Option<Arc<RoutingDocument>>,
     servers: BTreeMap<ServerName, Arc<Announcement>>,
+    quarantine: BTreeMap<RequestFingerprint, QuarantineStage>,
 }
 
 impl ClusterView {
@@ -166,6 +169,11 @@
         self.drains.get(domain).is_some_and(|(drained, _)| *drained)
     }
 
+    /// Returns the requests in quarantine.
+    pub fn quarantine(&self) -> &BTreeMap<RequestFingerprint, QuarantineStage> {
+        &self.quarantine
+    }
+
     /// Returns the team that holds a service.
     pub fn holder(&self, service: &ServiceName) -> Option<&TeamName> {
         self.holders.get(service)
@@ -236,6 +244,12 @@
             ViewChange::RemoveServer(name) => {
                 self.servers.remove(name);
             }
+            ViewChange::SetQuarantine(request, Some(stage)) => {
+                self.quarantine.insert(*request, *stage);
+            }
+            ViewChange::SetQuarantine(request, None) => {
+                self.quarantine.remove(request);
+            }
         }
     }
 
--- a/crates/types/tests/request_fingerprint.rs
+++ b/crates/types/tests/request_fingerprint.rs
@@ -1,6 +1,6 @@
 //! Fingerprints of requests, which entries on different hosts compare.
 
-use hawthornhill_types::RequestFingerprint;
+use hawthornhill_types::{HeadHash, RequestFingerprint};
 
 /// Guards against requests that differ and are taken for alike, also where the same bytes lie in other
 /// parts, and against hosts that compute other fingerprints.
@@ -13,9 +13,11 @@
         ("GET", "a.example", "/x/?q=1", ""),
         ("GET", "a.example", "/x", "/"),
         ("GET", "a.example", "/x/", "body"),
+        ("GET", "a.example", "/x/", "bodx"),
     ];
     let fingerprint = |(method, host, target, body): (&str, &str, &str, &str)| {
-        RequestFingerprint::new(method, host, target, body.as_bytes())
+        let head = HeadHash::new(method, host, target, body.len());
+        RequestFingerprint::new(head, body.as_bytes())
     };
     for (index, request) in requests.iter().enumerate() {
         assert_eq!(fingerprint(*request), fingerprint(*request));
@@ -23,5 +25,5 @@
             assert_ne!(fingerprint(*request), fingerprint(*other), "{request:?} and {other:?}");
         }
     }
-    assert_eq!(fingerprint(requests[0]).to_string(), "ca8140571ff43acba28009ae071374dc");
+    assert_eq!(fingerprint(requests[0]).to_string(), "619642eac687032ce3b0c44298fc1c14");
 }
