--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -5,6 +5,7 @@
     answer::remove_hop_headers,
     answer_body::{AnswerBody, AnswerStream},
     body::{BodyMemory, BodyStart},
+    local_quarantine::QuarantineStages,
     placer::ProbedServer,
     server_connection::{ExchangeError, ServerAnswer, ServerConnection},
     servers::BackendServer,
@@ -13,7 +14,7 @@
 use http::{HeaderMap, HeaderValue, Method, Request, StatusCode, Uri, header};
 use http_body_util::Full;
 use policy::SignalSource;
-use std::{collections::BTreeMap, sync::Arc, time::Instant};
+use std::{sync::Arc, time::Instant};
 use tokio::time::timeout_at;
 use types::{HeadHash, QuarantineStage, RequestFingerprint};
 
@@ -45,7 +46,7 @@
     /// only if a request with the same head is there.
     pub(crate) fn quarantine_stage(
         &self,
-        quarantine: &BTreeMap<RequestFingerprint, QuarantineStage>,
+        quarantine: &QuarantineStages,
     ) -> Option<QuarantineStage> {
         if quarantine.is_empty() {
             return None;
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -3,7 +3,7 @@
 use crate::{
     attempt::PreparedRequest,
     body::MemoryReservation,
-    crash_reporter::{FindingSender, RequestFinding},
+    crash_reporter::{QuarantineClient, RequestFinding},
     servers::BackendServer,
 };
 use bytes::Bytes;
@@ -44,7 +44,7 @@
     pub(crate) attempt_log: Mutex<AttemptLog>,
     /// The request's stage in the quarantine when it arrived.
     pub(crate) stage: Option<QuarantineStage>,
-    pub(crate) findings: FindingSender,
+    pub(crate) quarantine: QuarantineClient,
 }
 
 impl Drop for ForwardedCall {
@@ -54,13 +54,13 @@
         if attempt_log.was_answered {
             if self.stage.is_some() {
                 let request = self.request.fingerprint();
-                self.findings.send(RequestFinding::Answered(request));
+                self.quarantine.send(RequestFinding::Answered(request));
             }
         } else if !attempt_log.lost.is_empty() {
             let request = self.request.fingerprint();
             let servers = std::mem::take(&mut attempt_log.lost);
             let pool = self.pool.clone();
-            self.findings.send(RequestFinding::Lost { request, pool, servers });
+            self.quarantine.send(RequestFinding::Lost { request, pool, servers });
         }
     }
 }
--- a/crates/gateway/src/crash_reporter.rs
+++ b/crates/gateway/src/crash_reporter.rs
@@ -1,6 +1,10 @@
 //! Reports requests under which servers ended, so that all entries stop sending them.
 
-use crate::{placer::ServerPlacer, servers::BackendServer};
+use crate::{
+    local_quarantine::{LocalQuarantine, QuarantineStages},
+    placer::ServerPlacer,
+    servers::BackendServer,
+};
 use follow::LeaderClient;
 use futures_util::future::join_all;
 use runtime::{DecisionCounters, Logger};
@@ -10,7 +14,10 @@
     sync::Arc,
     time::{Duration, Instant},
 };
-use tokio::{sync::mpsc, time::sleep};
+use tokio::{
+    sync::mpsc,
+    time::{sleep, timeout},
+};
 use types::{CrashReport, PoolSpec, RequestFingerprint, RequestReport};
 
 /// Maximum number of findings that wait to be reported. Others are dropped and counted.
@@ -19,6 +26,8 @@
 const MAX_REPORTED: usize = 32;
 /// Time in which findings are collected for one report.
 const COLLECT_TIME: Duration = Duration::from_millis(50);
+/// Period in which the time of requests in the local quarantine is checked.
+const EXPIRY_PERIOD: Duration = Duration::from_secs(30);
 /// Time allowed for one report.
 const REPORT_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -37,10 +46,11 @@
     Answered(RequestFingerprint),
 }
 
-/// Takes findings without waiting.
+/// Takes findings without waiting, and holds the quarantine of this entry.
 #[derive(Clone)]
-pub(crate) struct FindingSender {
+pub(crate) struct QuarantineClient {
     findings: mpsc::Sender<RequestFinding>,
+    local: Arc<LocalQuarantine>,
     counters: DecisionCounters,
 }
 
@@ -48,30 +58,44 @@
 pub(crate) struct CrashReporter {
     pub(crate) placer: Arc<ServerPlacer>,
     pub(crate) leader: Arc<LeaderClient>,
+    pub(crate) local: Arc<LocalQuarantine>,
     pub(crate) counters: DecisionCounters,
     pub(crate) logger: Logger,
 }
 
-impl FindingSender {
+impl QuarantineClient {
     /// Queues a finding.
     pub(crate) fn send(&self, finding: RequestFinding) {
         if self.findings.try_send(finding).is_err() {
             self.counters.count("crash-report-dropped");
         }
     }
+
+    /// Returns the requests in quarantine at this entry alone.
+    pub(crate) fn local_stages(&self) -> Arc<QuarantineStages> {
+        self.local.stages()
+    }
 }
 
 impl CrashReporter {
-    /// Starts the reporter. Returns where findings are sent.
-    pub(crate) fn start(self) -> FindingSender {
+    /// Starts the reporter and returns its client.
+    pub(crate) fn start(self) -> QuarantineClient {
         let (findings, queue) = mpsc::channel(MAX_QUEUED);
-        let counters = self.counters.clone();
+        let (local, counters) = (self.local.clone(), self.counters.clone());
         tokio::spawn(self.run(queue));
-        FindingSender { findings, counters }
+        QuarantineClient { findings, local, counters }
     }
 
     async fn run(self, mut queue: mpsc::Receiver<RequestFinding>) {
-        while let Some(first) = queue.recv().await {
+        loop {
+            let first = match timeout(EXPIRY_PERIOD, queue.recv()).await {
+                Ok(Some(first)) => first,
+                Ok(None) => return,
+                Err(_) => {
+                    self.local.record(Instant::now(), &RequestReport::default());
+                    continue;
+                }
+            };
             sleep(COLLECT_TIME).await;
             let mut findings = vec![first];
             while findings.len() < MAX_REPORTED
@@ -123,14 +147,18 @@
     }
 
     async fn send(&self, report: RequestReport) {
-        let (crashes, answered) = (report.crashes.len(), report.answered.len());
         let deadline = Instant::now() + REPORT_TIMEOUT;
-        if self.leader.report_requests(report, deadline).await {
+        let is_taken = self.leader.report_requests(report.clone(), deadline).await;
+        if is_taken {
             self.counters.count("crash-report-sent");
+            // What servers have answered is no suspect here either.
+            let answered = RequestReport { crashes: Vec::new(), ..report };
+            self.local.record(Instant::now(), &answered);
         } else {
             self.counters.count("crash-report-failed");
-            warn!(self.logger, "replicas did not take the report about requests";
-                "crashes" => crashes, "answered" => answered);
+            warn!(self.logger, "replicas did not take the report about requests, kept here";
+                "crashes" => report.crashes.len(), "answered" => report.answered.len());
+            self.local.record(Instant::now(), &report);
         }
     }
 }
--- a/crates/gateway/src/forwarder.rs
+++ b/crates/gateway/src/forwarder.rs
@@ -6,7 +6,7 @@
     attempt::{AttemptResult, PreparedRequest, run_attempt},
     body::BodyMemory,
     call::{CallerRequest, ForwardedCall},
-    crash_reporter::FindingSender,
+    crash_reporter::QuarantineClient,
     final_answer::final_answer,
     placer::{PlaceError, ProbedServer, ServerPlacer},
     routes::InstalledRoutes,
@@ -74,7 +74,7 @@
     pub(crate) budget: BudgetLimits,
     pub(crate) metrics: ForwardMetrics,
     pub(crate) logger: Logger,
-    findings: FindingSender,
+    quarantine: QuarantineClient,
     services: Mutex<HashMap<ServiceName, ServiceState>>,
     caller_timeouts: Mutex<HashMap<Arc<str>, CallerTimeouts>>,
 }
@@ -82,7 +82,7 @@
 impl RequestForwarder {
     pub(crate) fn new(
         placer: Arc<ServerPlacer>,
-        findings: FindingSender,
+        quarantine: QuarantineClient,
         view: Arc<RwLock<Arc<ClusterView>>>,
         budget: BudgetLimits,
         startup_wait: StartupWait,
@@ -92,7 +92,7 @@
         let (dialect, memory) = (placer.dialect.clone(), placer.memory.clone());
         Arc::new(Self {
             placer,
-            findings,
+            quarantine,
             dialect,
             memory,
             view,
@@ -168,7 +168,7 @@
         let request =
             PreparedRequest { id, method, target, headers, body, caller_deadline, deadline };
         let view = self.view.read().clone();
-        let stage = request.quarantine_stage(view.quarantine());
+        let stage = self.quarantine_stage(&request);
         let is_idempotent = route.is_idempotent;
         let earlier_attempts_time =
             self.record_caller_timeout(&route, arrived, metadata.time_allowed);
@@ -183,7 +183,7 @@
             view,
             attempt_log,
             stage,
-            findings: self.findings.clone(),
+            quarantine: self.quarantine.clone(),
         };
         self.with_service(&call.pool.service, |state| {
             state.budget.record_request(arrived, &self.budget);
@@ -269,8 +269,14 @@
 
     /// Returns whether the request is blocked by now because servers ended under it.
     fn is_blocked(&self, call: &ForwardedCall) -> bool {
+        self.quarantine_stage(&call.request) == Some(QuarantineStage::Blocked)
+    }
+
+    /// Returns a request's stage in the quarantine of all entries, or in that of this entry.
+    fn quarantine_stage(&self, request: &PreparedRequest) -> Option<QuarantineStage> {
         let view = self.view.read().clone();
-        call.request.quarantine_stage(view.quarantine()) == Some(QuarantineStage::Blocked)
+        let shared = request.quarantine_stage(view.quarantine());
+        shared.max(request.quarantine_stage(&self.quarantine.local_stages()))
     }
 
     /// Takes a retry from the budget if the request may be sent again after `last`. Returns whether
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 mod forwarder;
 mod http1;
 mod listener;
+mod local_quarantine;
 mod node;
 mod placer;
 mod routes;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -6,6 +6,7 @@
     crash_reporter::CrashReporter,
     forwarder::{ForwardMetrics, RequestForwarder},
     listener::StopStage,
+    local_quarantine::LocalQuarantine,
     placer::ServerPlacer,
     routes::InstalledRoutes,
     servers::ServerTable,
@@ -168,6 +169,7 @@
         let reporter = CrashReporter {
             placer: placer.clone(),
             leader: leader.clone(),
+            local: Arc::new(LocalQuarantine::new(Instant::now())),
             counters: metrics.decisions("crash_reports", "Reports of requests that end servers"),
             logger: logger.clone(),
         };
--- a/crates/gateway/tests/crashing_requests.rs
+++ b/crates/gateway/tests/crashing_requests.rs
@@ -5,7 +5,7 @@
 use harness::{Script, ScriptedServer, TestAnswer, TestGateway, announcement, routing};
 use http::StatusCode;
 use std::{
-    sync::Arc,
+    sync::{Arc, atomic::Ordering},
     time::{Duration, Instant},
 };
 use tokio::{task::JoinSet, time::interval};
@@ -63,10 +63,8 @@
     requests.join_all().await
 }
 
-/// Pattern: a request makes servers end, and its caller sends it again and again, to any entry.
-/// Guards against a request that ends one server after the other until the service is gone.
-#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
-async fn request_that_ended_three_servers_is_no_longer_sent() {
+/// Starts entries and twelve servers, which end under requests for `/read/fatal`.
+async fn start_fleet(entries: usize) -> (Vec<Arc<ScriptedServer>>, Vec<Arc<TestGateway>>) {
     let mut servers = Vec::new();
     for number in 0..12 {
         let (name, domain) = (format!("s{number}"), ["a", "b"][number % 2]);
@@ -75,14 +73,19 @@
         servers.push(server);
     }
     let listed: Vec<&Arc<ScriptedServer>> = servers.iter().collect();
-    let fleet = TestGateway::start_fleet(6, routing(1, 2), &listed).await;
-    let fleet: Vec<Arc<TestGateway>> = fleet.into_iter().map(Arc::new).collect();
+    let fleet = TestGateway::start_fleet(entries, routing(1, 2), &listed).await;
+    (servers, fleet.into_iter().map(Arc::new).collect())
+}
+
+/// Sends copies of the fatal request and other requests for [`LOAD_TIME`], and checks what reaches
+/// the servers and what callers get.
+async fn check_load(servers: &[Arc<ScriptedServer>], fleet: &[Arc<TestGateway>]) {
     let end = Instant::now() + LOAD_TIME;
-    let (restarted, watched) = (fleet.clone(), servers.clone());
+    let (restarted, watched) = (fleet.to_vec(), servers.to_vec());
     let restarts = tokio::spawn(async move { restart_ended(&restarted, &watched).await });
-    let fatal = send_in_turn(fleet.clone(), REPEAT_PERIOD, |_| "/read/fatal".to_owned(), end);
+    let fatal = send_in_turn(fleet.to_vec(), REPEAT_PERIOD, |_| "/read/fatal".to_owned(), end);
     let mut others = JoinSet::new();
-    for gateway in &fleet {
+    for gateway in fleet {
         let target = |number| format!("/read/x{number}");
         others.spawn(send_in_turn(vec![gateway.clone()], REQUEST_PERIOD, target, end));
     }
@@ -105,3 +108,19 @@
     let served = others.iter().filter(|(_, answer)| answer.status == StatusCode::OK).count();
     assert!(served * 100 >= others.len() * 98, "{served} of {} others served", others.len());
 }
+
+/// Pattern: a request makes servers end, and its caller sends it again and again, to any entry.
+/// Guards against a request that ends one server after the other until the service is gone.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn request_that_ended_three_servers_is_no_longer_sent() {
+    let (servers, fleet) = start_fleet(6).await;
+    check_load(&servers, &fleet).await;
+}
+
+/// Guards against an entry that ends one server after the other while no replica takes its reports.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn entry_that_is_cut_off_stops_sending_it_too() {
+    let (servers, fleet) = start_fleet(1).await;
+    fleet[0].replicas.refuses_reports.store(true, Ordering::SeqCst);
+    check_load(&servers, &fleet).await;
+}
--- a/crates/gateway/tests/harness/mod.rs
+++ b/crates/gateway/tests/harness/mod.rs
@@ -309,11 +309,13 @@
 /// Replicas that answer every freshness request from the state that the test sets.
 pub struct SimulatedReplicas {
     pub state: Mutex<ClusterState>,
+    /// Whether the replicas refuse reports about requests.
+    pub refuses_reports: AtomicBool,
 }
 
 impl SimulatedReplicas {
     fn empty() -> Arc<Self> {
-        Arc::new(Self { state: Mutex::default() })
+        Arc::new(Self { state: Mutex::default(), refuses_reports: AtomicBool::new(false) })
     }
 
     pub fn apply(&self, command: &Command) {
@@ -331,6 +333,9 @@
     ) -> Result<PeerAnswer, PeerError> {
         let request = match request {
             PeerRequest::Freshness(request) => request,
+            PeerRequest::ReportRequests(_) if self.refuses_reports.load(Ordering::SeqCst) => {
+                return Ok(PeerAnswer::Refused("no leader answered".to_owned()));
+            }
             PeerRequest::ReportRequests(report) => {
                 self.apply(&Command::ReportRequests(report));
                 return Ok(PeerAnswer::Done);
--- a/crates/types/src/quarantine.rs
+++ b/crates/types/src/quarantine.rs
@@ -40,7 +40,7 @@
 }
 
 /// How a request in quarantine is treated.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum QuarantineStage {
     /// Sent to one server for each attempt of the caller.
     Suspected,
