--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -18,6 +18,10 @@
 };
 use types::{ClusterView, PoolSpec, QuarantineStage, RouteSpec, ServerName};
 
+/// Maximum size of a body that is hashed after an answer, in bytes. Requests with larger bodies are
+/// not kept as answered.
+const MAX_HASHED_BODY_BYTES: usize = 256 * 1024;
+
 /// A complete request from a caller.
 pub(crate) struct CallerRequest {
     pub(crate) method: Method,
@@ -50,16 +54,23 @@
 impl Drop for ForwardedCall {
     /// Reports what the request did to servers, also if its caller has left meanwhile.
     fn drop(&mut self) {
-        let attempt_log = self.attempt_log.get_mut();
-        if attempt_log.was_answered {
+        let AttemptLog { was_answered, lost, .. } = self.attempt_log.get_mut();
+        let is_small = self.request.body.len() <= MAX_HASHED_BODY_BYTES;
+        let is_relevant = match was_answered {
+            true => is_small || self.stage.is_some(),
+            false => !lost.is_empty(),
+        };
+        if !is_relevant {
+            return;
+        }
+        let request = self.request.fingerprint();
+        if *was_answered {
+            self.quarantine.record_answer(request);
             if self.stage.is_some() {
-                let request = self.request.fingerprint();
                 self.quarantine.send(RequestFinding::Answered(request));
             }
-        } else if !attempt_log.lost.is_empty() {
-            let request = self.request.fingerprint();
-            let servers = std::mem::take(&mut attempt_log.lost);
-            let pool = self.pool.clone();
+        } else if !self.quarantine.was_answered(&request) {
+            let (pool, servers) = (self.pool.clone(), std::mem::take(lost));
             self.quarantine.send(RequestFinding::Lost { request, pool, servers });
         }
     }
--- a/crates/gateway/src/crash_reporter.rs
+++ b/crates/gateway/src/crash_reporter.rs
@@ -7,6 +7,8 @@
 };
 use follow::LeaderClient;
 use futures_util::future::join_all;
+use parking_lot::Mutex;
+use policy::RecentAnswers;
 use runtime::{DecisionCounters, Logger};
 use slog::{info, warn};
 use smallvec::SmallVec;
@@ -51,6 +53,7 @@
 pub(crate) struct QuarantineClient {
     findings: mpsc::Sender<RequestFinding>,
     local: Arc<LocalQuarantine>,
+    answers: Arc<Mutex<RecentAnswers>>,
     counters: DecisionCounters,
 }
 
@@ -71,6 +74,16 @@
         }
     }
 
+    /// Records that a server has answered a request.
+    pub(crate) fn record_answer(&self, request: RequestFingerprint) {
+        self.answers.lock().record(Instant::now(), request);
+    }
+
+    /// Returns whether a server has answered the request lately, so that it does not end servers.
+    pub(crate) fn was_answered(&self, request: &RequestFingerprint) -> bool {
+        self.answers.lock().contains(Instant::now(), request)
+    }
+
     /// Returns the requests in quarantine at this entry alone.
     pub(crate) fn local_stages(&self) -> Arc<QuarantineStages> {
         self.local.stages()
@@ -83,7 +96,7 @@
         let (findings, queue) = mpsc::channel(MAX_QUEUED);
         let (local, counters) = (self.local.clone(), self.counters.clone());
         tokio::spawn(self.run(queue));
-        QuarantineClient { findings, local, counters }
+        QuarantineClient { findings, local, answers: Arc::default(), counters }
     }
 
     async fn run(self, mut queue: mpsc::Receiver<RequestFinding>) {
--- a/crates/gateway/tests/crashing_requests.rs
+++ b/crates/gateway/tests/crashing_requests.rs
@@ -19,8 +19,21 @@
 const LOAD_TIME: Duration = Duration::from_secs(8);
 /// Time between two copies of the request.
 const REPEAT_PERIOD: Duration = Duration::from_millis(130);
-/// Time between two requests of other callers of one entry.
-const REQUEST_PERIOD: Duration = Duration::from_millis(100);
+
+/// The requests of other callers of one entry.
+#[derive(Clone, Copy)]
+struct OtherLoad {
+    period: Duration,
+    method: &'static str,
+    target: fn(usize) -> String,
+}
+
+impl Default for OtherLoad {
+    fn default() -> Self {
+        let target = |number| format!("/read/x{number}");
+        Self { period: Duration::from_millis(100), method: "GET", target }
+    }
+}
 
 /// Announces servers that have ended and are up again, as the next incarnation.
 async fn restart_ended(fleet: &[Arc<TestGateway>], servers: &[Arc<ScriptedServer>]) {
@@ -44,6 +57,7 @@
 async fn send_in_turn(
     fleet: Vec<Arc<TestGateway>>,
     period: Duration,
+    method: &'static str,
     target: impl Fn(usize) -> String,
     end: Instant,
 ) -> Vec<(Instant, TestAnswer)> {
@@ -57,7 +71,7 @@
         let (gateway, target) = (fleet[number % fleet.len()].clone(), target(number));
         requests.spawn(async move {
             let id = format!("{target}-{number}");
-            (Instant::now(), gateway.send("GET", &target, &id).await)
+            (Instant::now(), gateway.send(method, &target, &id).await)
         });
     }
     requests.join_all().await
@@ -79,17 +93,22 @@
 
 /// Sends copies of the fatal request and other requests for [`LOAD_TIME`], and checks what reaches
 /// the servers and what callers get.
-async fn check_load(servers: &[Arc<ScriptedServer>], fleet: &[Arc<TestGateway>]) {
+async fn check_load(
+    servers: &[Arc<ScriptedServer>],
+    fleet: &[Arc<TestGateway>],
+    others: OtherLoad,
+) {
     let end = Instant::now() + LOAD_TIME;
     let (restarted, watched) = (fleet.to_vec(), servers.to_vec());
     let restarts = tokio::spawn(async move { restart_ended(&restarted, &watched).await });
-    let fatal = send_in_turn(fleet.to_vec(), REPEAT_PERIOD, |_| "/read/fatal".to_owned(), end);
-    let mut others = JoinSet::new();
+    let fatal_target = |_| "/read/fatal".to_owned();
+    let fatal = send_in_turn(fleet.to_vec(), REPEAT_PERIOD, "GET", fatal_target, end);
+    let mut requests = JoinSet::new();
     for gateway in fleet {
-        let target = |number| format!("/read/x{number}");
-        others.spawn(send_in_turn(vec![gateway.clone()], REQUEST_PERIOD, target, end));
+        let entry = vec![gateway.clone()];
+        requests.spawn(send_in_turn(entry, others.period, others.method, others.target, end));
     }
-    let (fatal, others) = (fatal.await, others.join_all().await);
+    let (fatal, others) = (fatal.await, requests.join_all().await);
     restarts.abort();
     let ended: u64 = servers.iter().map(|server| *server.crashes.borrow()).sum();
     let mut fatal_runs: Vec<Instant> =
@@ -114,7 +133,17 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn request_that_ended_three_servers_is_no_longer_sent() {
     let (servers, fleet) = start_fleet(6).await;
-    check_load(&servers, &fleet).await;
+    check_load(&servers, &fleet, OtherLoad::default()).await;
+}
+
+/// Pattern: all other callers send the same order, so that it is in progress at each server that ends.
+/// Guards against blocking it in place of the culprit.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn popular_request_is_not_taken_for_the_culprit() {
+    let (servers, fleet) = start_fleet(6).await;
+    let target = |_| "/order/popular".to_owned();
+    let others = OtherLoad { period: Duration::from_millis(20), method: "POST", target };
+    check_load(&servers, &fleet, others).await;
 }
 
 /// Guards against an entry that ends one server after the other while no replica takes its reports.
@@ -122,5 +151,5 @@
 async fn entry_that_is_cut_off_stops_sending_it_too() {
     let (servers, fleet) = start_fleet(1).await;
     fleet[0].replicas.refuses_reports.store(true, Ordering::SeqCst);
-    check_load(&servers, &fleet).await;
+    check_load(&servers, &fleet, OtherLoad::default()).await;
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -14,6 +14,7 @@
 mod latency;
 mod placement;
 mod probe_budget;
+mod recent_answers;
 mod registry;
 mod request_limit;
 mod retry_budget;
@@ -42,6 +43,7 @@
     CapacityNeed, PlacementCandidate, PlacementNeed, ServerLoad, cheapest_candidate,
 };
 pub use probe_budget::ProbeBudget;
+pub use recent_answers::RecentAnswers;
 pub use registry::{ANNOUNCEMENT_LEASE, AnnounceOutcome, ServerRegistry};
 pub use request_limit::{EntryPlace, RequestLimit};
 pub use retry_budget::RetryBudget;
