soak: a server that limits requests, at the real processes (LIMIT)

The check is that of the users: 1.5 times the limit and 5 more in any 4 s, from 3 s on.

Ruled out: drawing limits among the random faults; restarts and cuts excuse entries, so that a check would have to know of them.

--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -5,8 +5,10 @@
 //! seeds, `SOAK_SECONDS` sets how long faults are injected for each seed, and `SOAK_ENTRIES` sets the
 //! number of entries.
 
+mod demands;
 mod history;
 
+use demands::check_limit;
 use history::{CallRecord, ObservedHistory, ServerDeparture, stale_read};
 use rand::{Rng, SeedableRng, rngs::StdRng, seq::IndexedRandom};
 use stand_in::{
@@ -386,6 +388,7 @@
         system.verify();
     }
     system.wait_served(RECOVERY_BOUND, "after the faults").await;
+    check_limit(&system.servers[1].0).await;
     // A server leaves after all faults have ended, when the drain bound holds without exception.
     let (server, _) = system.servers[0].clone();
     let acknowledged_at = server.leave(&system.operator, Duration::from_secs(10)).await;
