--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -8,7 +8,7 @@
 mod demands;
 mod history;
 
-use demands::check_limit;
+use demands::{check_fatal_request, check_limit};
 use history::{CallRecord, ObservedHistory, ServerDeparture, stale_read};
 use rand::{Rng, SeedableRng, rngs::StdRng, seq::IndexedRandom};
 use stand_in::{
@@ -389,6 +389,8 @@
     }
     system.wait_served(RECOVERY_BOUND, "after the faults").await;
     check_limit(&system.servers[1].0).await;
+    check_fatal_request(&system.servers, &system.entries, &mut rng).await;
+    system.wait_served(RECOVERY_BOUND, "after a fatal request").await;
     // A server leaves after all faults have ended, when the drain bound holds without exception.
     let (server, _) = system.servers[0].clone();
     let acknowledged_at = server.leave(&system.operator, Duration::from_secs(10)).await;
