soak: answers sent twice or halfway, a planned stop under load, restarts after a departure

Change: proxies can repeat responses later on the same connection, and break them off.

Ruled out: repeating only the last response of a connection; answers to probes then replace those to requests, and a planted fault was not found.

--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -16,7 +16,7 @@
     ServerMode, SimulatedServer, SiteCaller, SitePorts,
 };
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     fs::File,
     io::{self, Write},
     net::{Ipv4Addr, SocketAddr},
@@ -51,6 +51,12 @@
 /// Time after the last fault within which every entry must serve again.
 const RECOVERY_BOUND: Duration = Duration::from_secs(15);
 
+/// Delay of an answer that a server sends for the second time. Longer than a request takes, so that the
+/// next one may be on its way.
+const REPEAT_DELAY: Duration = Duration::from_millis(40);
+/// Time for which servers spoil their answers.
+const SPOIL_TIME: Duration = Duration::from_secs(2);
+
 /// An entry or a replica of the system under test.
 struct SoakProcess {
     boot: BootFileFields,
@@ -358,6 +364,37 @@
         Ok(description)
     }
 
+    /// Lets servers send answers twice, the second time late on a connection that is in use again, and
+    /// break off answers halfway.
+    async fn spoil_answers(&self) {
+        self.servers[2].1.set_fault(ProxyFault::RepeatedResponses(REPEAT_DELAY));
+        self.servers[3].1.set_fault(ProxyFault::TruncatedResponses);
+        sleep(SPOIL_TIME).await;
+        self.servers.iter().for_each(|(_, proxy)| proxy.set_fault(ProxyFault::None));
+        self.verify();
+    }
+
+    /// Stops an entry as planned under load, and checks that each request which ran was answered.
+    async fn check_planned_stop(&mut self) {
+        self.wait_served(RECOVERY_BOUND, "before a planned stop").await;
+        let earlier: HashSet<String> =
+            self.calls.lock().expect("not poisoned").keys().cloned().collect();
+        self.processes[REPLICAS].stop().expect("stopped");
+        self.processes[REPLICAS].start().expect("started");
+        self.wait_served(RECOVERY_BOUND, "after a planned stop").await;
+        let runs: HashSet<String> =
+            self.servers.iter().flat_map(|(server, _)| server.runs().into_keys()).collect();
+        let calls = self.calls.lock().expect("not poisoned").clone();
+        let is_cut_off = |(id, call): &(&String, &CallRecord)| {
+            !earlier.contains(*id) && runs.contains(*id) && call.outcome == CallOutcome::NoResponse
+        };
+        let cut_off: Vec<_> = calls.iter().filter(is_cut_off).collect();
+        assert!(
+            cut_off.is_empty(),
+            "requests that ran were cut off by a planned stop: {cut_off:?}"
+        );
+    }
+
     /// Checks the invariants that hold at any time.
     fn verify(&self) {
         let mut runs: HashMap<String, Vec<(usize, Instant)>> = HashMap::new();
@@ -391,11 +428,18 @@
     check_limit(&system.servers[1].0).await;
     check_fatal_request(&system.servers, &system.entries, &mut rng).await;
     system.wait_served(RECOVERY_BOUND, "after a fatal request").await;
+    system.spoil_answers().await;
+    system.check_planned_stop().await;
     // A server leaves after all faults have ended, when the drain bound holds without exception.
     let (server, _) = system.servers[0].clone();
     let acknowledged_at = server.leave(&system.operator, Duration::from_secs(10)).await;
     let acknowledged_at = acknowledged_at.expect("leaving is acknowledged");
     system.departures.push(ServerDeparture { server: 0, acknowledged_at });
+    // A process that starts again must not use a server that has left.
+    for index in [REPLICAS - 1, REPLICAS] {
+        system.processes[index].kill().expect("killed");
+        system.processes[index].start().expect("started");
+    }
     sleep(DRAIN_BOUND + Duration::from_secs(1)).await;
     is_finished.store(true, Ordering::SeqCst);
     for task in traffic {
