gateway: move probes and the scripted servers of the tests to files of their own

Moves of code only: server_probe.rs takes the probe, its answer and its constants; harness/scripted_server.rs takes the servers. No logic changes; the tests of the package pass.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -6,8 +6,8 @@
     answer_body::{AnswerBody, AnswerStream},
     body::{BodyMemory, BodyStart},
     local_quarantine::QuarantineStages,
-    placer::ProbedServer,
     server_connection::{ExchangeError, ServerAnswer, ServerConnection},
+    server_probe::ProbedServer,
     servers::BackendServer,
 };
 use bytes::Bytes;
--- a/crates/gateway/src/forwarder.rs
+++ b/crates/gateway/src/forwarder.rs
@@ -8,8 +8,9 @@
     call::{CallerRequest, ForwardedCall},
     crash_reporter::QuarantineClient,
     final_answer::final_answer,
-    placer::{PlaceError, ProbedServer, ServerPlacer},
+    placer::{PlaceError, ServerPlacer},
     routes::InstalledRoutes,
+    server_probe::ProbedServer,
     service_queue::ServiceQueue,
 };
 use futures_util::future::Either;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -21,6 +21,7 @@
 mod placer;
 mod routes;
 mod server_connection;
+mod server_probe;
 mod server_search;
 mod servers;
 mod service_queue;
--- a/crates/gateway/src/server_search.rs
+++ b/crates/gateway/src/server_search.rs
@@ -3,7 +3,8 @@
 use crate::{
     call::ForwardedCall,
     forwarder::{RequestForwarder, initial_service_time},
-    placer::{PlaceError, PlaceRequest, ProbedServer},
+    placer::{PlaceError, PlaceRequest},
+    server_probe::ProbedServer,
     service_queue::QueuePosition,
 };
 use policy::{CapacityNeed, PlacementNeed};
