--- a/crates/gateway/src/placer.rs
+++ b/crates/gateway/src/placer.rs
@@ -323,12 +323,14 @@
 
     /// Returns this entry's place among the entries that share a server.
     fn entry_place(&self, server: &BackendServer, request: &PlaceRequest<'_>) -> EntryPlace {
-        let names = || request.view.entries().filter(|entry| entry.serving).map(|e| &e.name);
-        let is_listed = names().any(|name| *name == self.entry);
-        EntryPlace {
-            rank: is_listed.then(|| rendezvous_rank(&self.entry, names(), &server.name)),
-            entries: names().count(),
-        }
+        server.entry_place(request.view.version, || {
+            let names = || request.view.entries().filter(|entry| entry.serving).map(|e| &e.name);
+            let is_listed = names().any(|name| *name == self.entry);
+            EntryPlace {
+                rank: is_listed.then(|| rendezvous_rank(&self.entry, names(), &server.name)),
+                entries: names().count(),
+            }
+        })
     }
 
     /// Returns whether a server has ended, to judge by a new connection. A server that wants no probes
--- a/crates/gateway/src/servers.rs
+++ b/crates/gateway/src/servers.rs
@@ -19,7 +19,7 @@
 };
 use types::{
     Announcement, ClusterView, DomainName, EntryName, ServerIncarnation, ServerName, ServerState,
-    ServiceName,
+    ServiceName, ViewVersion,
 };
 
 /// Maximum number of idle connections to one server.
@@ -55,6 +55,8 @@
     cold_allowance: ColdAllowance,
     hold: ServerHold,
     limit: RequestLimit,
+    /// This entry's place among the entries that share the server, by a version of the view.
+    entry_place: Option<(ViewVersion, EntryPlace)>,
     logged_limit: LoggedLimit,
 }
 
@@ -181,6 +183,24 @@
         self.state.lock().limit.is_outdated(now)
     }
 
+    /// Returns this entry's place among the entries that share the server. Calls `compute` only once
+    /// for each version of the view, since it hashes the names of all entries.
+    pub(crate) fn entry_place(
+        &self,
+        version: ViewVersion,
+        compute: impl FnOnce() -> EntryPlace,
+    ) -> EntryPlace {
+        let mut state = self.state.lock();
+        match state.entry_place {
+            Some((known_version, place)) if known_version == version => place,
+            _ => {
+                let place = compute();
+                state.entry_place = Some((version, place));
+                place
+            }
+        }
+    }
+
     /// Returns how long the server's limit keeps this entry from sending a request, or `None` if it
     /// does so for good.
     pub(crate) fn limit_wait(&self, now: Instant, place: EntryPlace) -> Option<Duration> {
--- a/crates/gateway/tests/server_limits.rs
+++ b/crates/gateway/tests/server_limits.rs
@@ -13,6 +13,7 @@
     task::JoinSet,
     time::{interval, sleep},
 };
+use types::{Command, EntryIncarnation};
 
 /// Time that entries have to adapt to a limit.
 const ADAPT_TIME: Duration = Duration::from_secs(3);
@@ -127,6 +128,29 @@
     assert_eq!(counts[2], 0);
 }
 
+/// Pattern: half of the entries end while a server limits its requests. Guards against shares that
+/// stay with entries which are gone, and against shares that are too large once there are fewer.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn shares_of_entries_that_are_gone_go_to_the_others() {
+    let limit = 4.0;
+    let (near, fleet) = start_fleet(false).await;
+    *near.limit_milli.lock() = Some((limit * 1_000.0) as u32);
+    send_load(&fleet, REQUEST_PERIOD, Duration::from_secs(1)).await;
+    let (staying, leaving) = fleet.split_at(ENTRY_COUNT / 2);
+    for number in ENTRY_COUNT / 2..ENTRY_COUNT {
+        let name = format!("entry-{}", number + 1).parse().expect("name");
+        leaving[0].replicas.apply(&Command::RemoveEntry(name, EntryIncarnation(1)));
+    }
+    sleep(Duration::from_secs(1)).await;
+    near.run_times.lock().clear();
+    send_load(staying, REQUEST_PERIOD, 2 * WINDOW).await;
+    let times = near.run_times.lock().clone();
+    let most = most_within_window(&times) as f64;
+    assert!(most <= EXCESS.0 * limit * WINDOW.as_secs_f64() + EXCESS.1, "{most} requests in 4 s");
+    let share = times.len() as f64 / (limit * (2 * WINDOW).as_secs_f64());
+    assert!(share >= 0.7, "only {share} of the limit is used");
+}
+
 /// Pattern: all servers of a service limit their requests, to less than half of what callers send.
 /// Guards against capacity that is left unused while callers are refused, and against refusals that
 /// take long or do not say when to return.
