--- a/crates/gateway/src/servers.rs
+++ b/crates/gateway/src/servers.rs
@@ -183,8 +183,8 @@
         self.state.lock().limit.is_outdated(now)
     }
 
-    /// Returns this entry's place among the entries that share the server. Calls `compute` only once
-    /// for each version of the view, since it hashes the names of all entries.
+    /// Returns this entry's place among the entries that share the server. Calls `compute` only
+    /// once for each version of the view, since it hashes the names of all entries.
     pub(crate) fn entry_place(
         &self,
         version: ViewVersion,
--- a/crates/gateway/tests/server_limits.rs
+++ b/crates/gateway/tests/server_limits.rs
@@ -26,8 +26,8 @@
 /// Entries that share the servers.
 const ENTRY_COUNT: usize = 6;
 
-/// Sends a request to each entry once per period, for a time. Returns the answers, each with the time
-/// that it took.
+/// Sends a request to each entry once per period, for a time. Returns the answers, each with the
+/// time that it took.
 async fn send_load(
     fleet: &[Arc<TestGateway>],
     period: Duration,
--- a/crates/policy/src/request_limit.rs
+++ b/crates/policy/src/request_limit.rs
@@ -1,9 +1,9 @@
 //! A server's limit on the requests of all entries together, kept without messages between entries.
 //!
-//! Rendezvous hashing chooses the owners of a limited server. Each owner sends single requests, with
-//! a fixed time between them, so that all owners together stay within the limit. Other entries send
-//! the server no requests. A larger limit has more owners, since each of them can only use its share
-//! for the requests of its own callers.
+//! Rendezvous hashing chooses the owners of a limited server. Each owner sends single requests,
+//! with a fixed time between them, so that all owners together stay within the limit. Other entries
+//! send the server no requests. A larger limit has more owners, since each of them can only use its
+//! share for the requests of its own callers.
 //!
 //! Within any time, the owners send at most as many requests as the limit permits in that time, and
 //! one more each.
@@ -24,8 +24,8 @@
 /// This entry's place among the entries that share a server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct EntryPlace {
-    /// Number of entries with a higher rendezvous weight for the server. `None` if this entry is not
-    /// among the entries, so that the others do not count on it.
+    /// Number of entries with a higher rendezvous weight for the server. `None` if this entry is
+    /// not among the entries, so that the others do not count on it.
     pub rank: Option<usize>,
     /// Number of entries.
     pub entries: usize,
