--- a/crates/control/src/plane.rs
+++ b/crates/control/src/plane.rs
@@ -94,7 +94,7 @@
         }
     }
 
-    /// Records what an entry reports about requests that end servers.
+    /// Records what an entry reports about requests that crash servers.
     ///
     /// # Errors
     ///
--- a/crates/daemon/tests/demands/mod.rs
+++ b/crates/daemon/tests/demands/mod.rs
@@ -15,15 +15,15 @@
 const LIMIT: f64 = 3.0;
 /// Window in which the requests to the limited server are counted.
 const LIMIT_WINDOW: Duration = Duration::from_secs(4);
-/// Requests within a window that the users allow at [`LIMIT`]: 1.5 times as many as the limit allows,
-/// and 5 more.
+/// Requests within a window that the users allow at [`LIMIT`]: 1.5 times as many as the limit
+/// allows, and 5 more.
 const MAX_IN_WINDOW: usize = 23;
 /// Number of times that a fatal request may reach servers later than [`ADAPT_TIME`] after the third
-/// server has ended.
+/// server has crashed.
 const MAX_LATE_RUNS: usize = 3;
 /// Time for which a fatal request is sent.
 const FATAL_TIME: Duration = Duration::from_secs(6);
-/// Time for which a server is down after it has ended.
+/// Time for which a server is down after it has crashed.
 const DOWN_TIME: Duration = Duration::from_secs(1);
 
 /// Lets a server limit its requests, and checks how many it gets from all entries.
@@ -43,7 +43,7 @@
     assert!(!times.is_empty(), "the limited server got no request");
 }
 
-/// Sends a request under which servers end to all entries, and checks that they stop sending it.
+/// Sends a request under which servers crash to all entries, and checks that they stop sending it.
 pub async fn check_fatal_request(
     servers: &[(Arc<SimulatedServer>, Arc<FaultyProxy>)],
     entries: &[SocketAddr],
@@ -73,7 +73,7 @@
     };
     let mut times: Vec<Instant> = servers.iter().flat_map(runs).collect();
     times.sort();
-    assert!(times.len() >= 3, "the request did not end three servers: {outcomes:?}");
+    assert!(times.len() >= 3, "the request did not crash three servers: {outcomes:?}");
     let late = times.iter().filter(|time| **time > times[2] + ADAPT_TIME).count();
     assert!(late <= MAX_LATE_RUNS, "sent {late} times more, {} times in all", times.len());
     let is_refused =
@@ -83,7 +83,7 @@
     servers.iter().for_each(|(_, proxy)| proxy.set_fault(ProxyFault::None));
 }
 
-/// Makes a server that has ended refuse connections, and come back as the next incarnation.
+/// Makes a server that has crashed refuse connections, and come back as the next incarnation.
 async fn restart_after_crashes(server: Arc<SimulatedServer>, proxy: Arc<FaultyProxy>) {
     let mut crashes = server.crashes();
     while crashes.changed().await.is_ok() {
--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -2,8 +2,8 @@
 //! checks the invariants on what callers, servers and the operator observe.
 //!
 //! The seed determines the series of faults. `SOAK_SEEDS=7,8,9` runs these seeds instead of the CI
-//! seeds, `SOAK_SECONDS` sets how long faults are injected for each seed, and `SOAK_ENTRIES` sets the
-//! number of entries.
+//! seeds, `SOAK_SECONDS` sets how long faults are injected for each seed, and `SOAK_ENTRIES` sets
+//! the number of entries.
 
 mod demands;
 mod history;
@@ -51,8 +51,8 @@
 /// Time after the last fault within which every entry must serve again.
 const RECOVERY_BOUND: Duration = Duration::from_secs(15);
 
-/// Delay of an answer that a server sends for the second time. Longer than a request takes, so that the
-/// next one may be on its way.
+/// Delay of an answer that a server sends for the second time. Longer than a request takes, so that
+/// the next one may be on its way.
 const REPEAT_DELAY: Duration = Duration::from_millis(40);
 /// Time for which servers spoil their answers.
 const SPOIL_TIME: Duration = Duration::from_secs(2);
@@ -222,8 +222,8 @@
         }
     }
 
-    /// Starts callers, an operator that changes the configuration, and a reader that checks for stale
-    /// versions.
+    /// Starts callers, an operator that changes the configuration, and a reader that checks for
+    /// stale versions.
     fn start_traffic(
         &self,
         seed: u64,
@@ -364,8 +364,8 @@
         Ok(description)
     }
 
-    /// Lets servers send answers twice, the second time late on a connection that is in use again, and
-    /// break off answers halfway.
+    /// Lets servers send answers twice, the second time late on a connection that is in use again,
+    /// and break off answers halfway.
     async fn spoil_answers(&self) {
         self.servers[2].1.set_fault(ProxyFault::RepeatedResponses(REPEAT_DELAY));
         self.servers[3].1.set_fault(ProxyFault::TruncatedResponses);
--- a/crates/follow/src/leader.rs
+++ b/crates/follow/src/leader.rs
@@ -219,8 +219,8 @@
         grant.update.apply_to(&ClusterView::default()).ok()
     }
 
-    /// Reports requests that end servers to any replica, and to others if it does not take the report.
-    /// Returns whether one has taken it by the deadline.
+    /// Reports requests that crash servers to any replica, and to others if it does not take the
+    /// report. Returns whether one has taken it by the deadline.
     pub async fn report_requests(&self, report: RequestReport, deadline: Instant) -> bool {
         let mut targets = self.replicas_and_seeds();
         targets.shuffle(&mut rand::rng());
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -145,8 +145,8 @@
     result
 }
 
-/// Returns whether a response is from the server that the request was sent to. Another server at the
-/// same address answers with 421, and a late response may belong to another request.
+/// Returns whether a response is from the server that the request was sent to. Another server at
+/// the same address answers with 421, and a late response may belong to another request.
 fn is_from_expected_server(
     request: &PreparedRequest,
     answer: &ServerAnswer,
@@ -190,8 +190,8 @@
     AnswerClass::Forwarded
 }
 
-/// Returns the response for the caller. If its body is complete, the connection returns to the pool;
-/// otherwise the response takes the connection.
+/// Returns the response for the caller. If its body is complete, the connection returns to the
+/// pool; otherwise the response takes the connection.
 fn forward_answer(
     request: &PreparedRequest,
     answer: ServerAnswer,
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -107,7 +107,7 @@
     }
 
     /// Returns whether the route's `max_attempts` allows another attempt. Hedged attempts count. A
-    /// request that is suspected of ending servers gets a single attempt.
+    /// request that is suspected of crashing servers gets a single attempt.
     pub(crate) fn may_add_attempt(&self) -> bool {
         let limit = match self.stage {
             Some(_) => 1,
--- a/crates/gateway/src/crash_reporter.rs
+++ b/crates/gateway/src/crash_reporter.rs
@@ -1,4 +1,4 @@
-//! Reports requests under which servers ended, so that all entries stop sending them.
+//! Reports requests under which servers crashed, so that all entries stop sending them.
 
 use crate::{
     local_quarantine::{LocalQuarantine, QuarantineStages},
@@ -57,7 +57,7 @@
     counters: DecisionCounters,
 }
 
-/// Checks which servers have ended and reports to the replicas.
+/// Checks which servers have crashed and reports to the replicas.
 pub(crate) struct CrashReporter {
     pub(crate) placer: Arc<ServerPlacer>,
     pub(crate) leader: Arc<LeaderClient>,
@@ -79,7 +79,7 @@
         self.answers.lock().record(Instant::now(), request);
     }
 
-    /// Returns whether a server has answered the request lately, so that it does not end servers.
+    /// Returns whether a server has answered the request lately, so that it does not crash servers.
     pub(crate) fn was_answered(&self, request: &RequestFingerprint) -> bool {
         self.answers.lock().contains(Instant::now(), request)
     }
@@ -123,8 +123,8 @@
         }
     }
 
-    /// Checks whether the servers of lost attempts have ended. A server that still answers has only
-    /// lost a connection or an answer.
+    /// Checks whether the servers of lost attempts have crashed. A server that still answers has
+    /// only lost a connection or an answer.
     async fn examine(&self, findings: Vec<RequestFinding>) -> RequestReport {
         let mut report = RequestReport::default();
         let mut checks = Vec::new();
@@ -150,10 +150,10 @@
         pool: PoolSpec,
         server: Arc<BackendServer>,
     ) -> Option<CrashReport> {
-        if !self.placer.has_ended(&server, &pool.health_path).await {
+        if !self.placer.has_crashed(&server, &pool.health_path).await {
             return None;
         }
-        info!(self.logger, "server ended under a request"; "server" => %server.name,
+        info!(self.logger, "server crashed under a request"; "server" => %server.name,
             "incarnation" => server.incarnation.0, "fingerprint" => %request);
         let (server, incarnation) = (server.name.clone(), server.incarnation);
         Some(CrashReport { request, server, incarnation })
--- a/crates/gateway/src/final_answer.rs
+++ b/crates/gateway/src/final_answer.rs
@@ -58,7 +58,7 @@
                     wait.map_or(until_slot, CapacityForecast::After),
                 ),
                 PlaceError::Quarantined => {
-                    let reason = "not run: servers ended under requests like this one";
+                    let reason = "not run: servers crashed under requests like this one";
                     return (GatewayAnswer::refused(reason, QUARANTINE_TIME), "quarantined");
                 }
             };
--- a/crates/gateway/src/forwarder.rs
+++ b/crates/gateway/src/forwarder.rs
@@ -268,7 +268,7 @@
         last.ok_or(PlaceError::NoServers)
     }
 
-    /// Returns whether the request is blocked by now because servers ended under it.
+    /// Returns whether the request is blocked by now because servers crashed under it.
     fn is_blocked(&self, call: &ForwardedCall) -> bool {
         self.quarantine_stage(&call.request) == Some(QuarantineStage::Blocked)
     }
@@ -347,7 +347,7 @@
         let is_cold = probed.candidate.is_cold;
         let server = probed.server.clone();
         let result = if self.is_blocked(call) {
-            AttemptResult::NotRun("servers ended under requests like this one".to_owned())
+            AttemptResult::NotRun("servers crashed under requests like this one".to_owned())
         } else if is_listed {
             run_attempt(&call.request, probed, &self.dialect, &self.memory).await
         } else {
--- a/crates/gateway/src/local_quarantine.rs
+++ b/crates/gateway/src/local_quarantine.rs
@@ -10,7 +10,7 @@
 pub(crate) type QuarantineStages = BTreeMap<RequestFingerprint, QuarantineStage>;
 
 /// Evidence that an entry keeps for itself while it cannot reach the replicas. Without it, an entry
-/// that is cut off would send a request that ends servers to all of them.
+/// that is cut off would send a request that crashes servers to all of them.
 pub(crate) struct LocalQuarantine {
     started: Instant,
     ledger: Mutex<CrashLedger>,
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -170,7 +170,7 @@
             placer: placer.clone(),
             leader: leader.clone(),
             local: Arc::new(LocalQuarantine::new(Instant::now())),
-            counters: metrics.decisions("crash_reports", "Reports of requests that end servers"),
+            counters: metrics.decisions("crash_reports", "Reports of requests that crash servers"),
             logger: logger.clone(),
         };
         let forward_metrics = ForwardMetrics {
--- a/crates/gateway/src/placer.rs
+++ b/crates/gateway/src/placer.rs
@@ -69,10 +69,10 @@
     /// All servers that responded lack free capacity for the request, or are cold and may not
     /// receive it from this entry now.
     Full,
-    /// All servers are leaving, shed load, or limit requests and may not receive one from this entry
-    /// now. Holds the time after which the first may receive one; `None` if none may.
+    /// All servers are leaving, shed load, or limit requests and may not receive one from this
+    /// entry now. Holds the time after which the first may receive one; `None` if none may.
     Held(Option<Duration>),
-    /// Servers ended under requests like this one.
+    /// Servers crashed under requests like this one.
     Quarantined,
 }
 
@@ -333,15 +333,15 @@
         })
     }
 
-    /// Returns whether a server has ended, to judge by a new connection. A server that wants no probes
-    /// counts as running.
-    pub(crate) async fn has_ended(
+    /// Returns whether a server has crashed, to judge by a new connection. A server that wants no
+    /// probes counts as running.
+    pub(crate) async fn has_crashed(
         &self,
         server: &Arc<BackendServer>,
         health_path: &Arc<str>,
     ) -> bool {
         server.held_until(Instant::now()).is_none()
-            && self.probe(server, health_path).has_ended().await
+            && self.probe(server, health_path).has_crashed().await
     }
 
     fn start_probe(
--- a/crates/gateway/src/server_probe.rs
+++ b/crates/gateway/src/server_probe.rs
@@ -1,4 +1,4 @@
-//! Probes of servers, which ask for their load or find out whether they have ended.
+//! Probes of servers, which ask for their load or find out whether they have crashed.
 
 use crate::{
     AnswerMetadata, WireDialect,
@@ -20,8 +20,8 @@
 /// Timeout of the first probe of a server in a search, including connection setup. Servers respond
 /// to probes immediately; a single lost packet delays a response by more than this.
 pub(crate) const PROBE_TIMEOUT: Duration = Duration::from_millis(120);
-/// Number of connects without any reaction after which a server counts as ended. A single lost packet
-/// delays a connect by more than [`PROBE_TIMEOUT`].
+/// Number of connects without any reaction after which a server counts as crashed. A single lost
+/// packet delays a connect by more than [`PROBE_TIMEOUT`].
 const MAX_SILENT_CONNECTS: usize = 2;
 /// Maximum size of the body of a response to a probe, in bytes.
 const MAX_PROBE_BODY_BYTES: usize = 4 * 1024;
@@ -77,9 +77,9 @@
         self.send_on(connection).await
     }
 
-    /// Returns whether nothing listens at the server's address, or another server does. A server that
-    /// accepts a connection and then resets it is running: servers do so when they are full.
-    pub(crate) async fn has_ended(&self) -> bool {
+    /// Returns whether nothing listens at the server's address, or another server does. A server
+    /// that accepts a connection and then resets it is running: servers do so when they are full.
+    pub(crate) async fn has_crashed(&self) -> bool {
         for _ in 0..MAX_SILENT_CONNECTS {
             match timeout(PROBE_TIMEOUT, TcpStream::connect(self.server.address)).await {
                 Ok(Ok(stream)) => {
--- a/crates/gateway/tests/crashing_requests.rs
+++ b/crates/gateway/tests/crashing_requests.rs
@@ -1,4 +1,4 @@
-//! Requests that make each server that runs them end, and that callers send again.
+//! Requests that make each server that runs them crash, and that callers send again.
 
 mod harness;
 
@@ -11,7 +11,7 @@
 use tokio::{task::JoinSet, time::interval};
 use types::{Command, ServerIncarnation, ServerState};
 
-/// Time that entries have after the third server has ended.
+/// Time that entries have after the third server has crashed.
 const ADAPT_TIME: Duration = Duration::from_secs(3);
 /// Number of times that the request may reach servers after that.
 const MAX_LATE_RUNS: usize = 3;
@@ -35,7 +35,7 @@
     }
 }
 
-/// Announces servers that have ended and are up again, as the next incarnation.
+/// Announces servers that have crashed and are up again, as the next incarnation.
 async fn restart_ended(fleet: &[Arc<TestGateway>], servers: &[Arc<ScriptedServer>]) {
     let mut announced = vec![0; servers.len()];
     let mut ticks = interval(Duration::from_millis(20));
@@ -114,10 +114,10 @@
     let mut fatal_runs: Vec<Instant> =
         servers.iter().flat_map(|server| server.fatal_run_times.lock().clone()).collect();
     fatal_runs.sort();
-    assert!(fatal_runs.len() >= 3, "the request did not end three servers");
+    assert!(fatal_runs.len() >= 3, "the request did not crash three servers");
     let adapted = fatal_runs[2] + ADAPT_TIME;
     let late = fatal_runs.iter().filter(|run| **run > adapted).count();
-    assert!(late <= MAX_LATE_RUNS, "sent {late} times more; {ended} servers ended in all");
+    assert!(late <= MAX_LATE_RUNS, "sent {late} times more; {ended} servers crashed in all");
     let is_late = |(sent, _): &&(Instant, TestAnswer)| *sent > adapted;
     for (_, answer) in fatal.iter().filter(is_late).skip(MAX_LATE_RUNS) {
         assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE, "{answer:?}");
@@ -128,16 +128,16 @@
     assert!(served * 100 >= others.len() * 98, "{served} of {} others served", others.len());
 }
 
-/// Pattern: a request makes servers end, and its caller sends it again and again, to any entry.
-/// Guards against a request that ends one server after the other until the service is gone.
+/// Pattern: a request makes servers crash, and its caller sends it again and again, to any entry.
+/// Guards against a request that crashes one server after the other until the service is gone.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
-async fn request_that_ended_three_servers_is_no_longer_sent() {
+async fn request_that_crashed_three_servers_is_no_longer_sent() {
     let (servers, fleet) = start_fleet(6).await;
     check_load(&servers, &fleet, OtherLoad::default()).await;
 }
 
-/// Pattern: all other callers send the same order, so that it is in progress at each server that ends.
-/// Guards against blocking it in place of the culprit.
+/// Pattern: all other callers send the same order, so that it is in progress at each server that
+/// ends. Guards against blocking it in place of the culprit.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn popular_request_is_not_taken_for_the_culprit() {
     let (servers, fleet) = start_fleet(6).await;
@@ -146,7 +146,8 @@
     check_load(&servers, &fleet, others).await;
 }
 
-/// Guards against an entry that ends one server after the other while no replica takes its reports.
+/// Guards against an entry that crashes one server after the other while no replica takes its
+/// reports.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn entry_that_is_cut_off_stops_sending_it_too() {
     let (servers, fleet) = start_fleet(1).await;
--- a/crates/gateway/tests/harness/scripted_server.rs
+++ b/crates/gateway/tests/harness/scripted_server.rs
@@ -59,17 +59,18 @@
     pub limit_milli: Mutex<Option<u32>>,
     /// Whether only answers to requests state the limit, and none to probes.
     pub hides_limit_from_probes: AtomicBool,
-    /// Requests whose target contains this text make the server end. Empty if none does.
+    /// Requests whose target contains this text make the server crash. Empty if none does.
     pub crashed_by: Mutex<String>,
     /// When such requests began to run.
     pub fatal_run_times: Mutex<Vec<Instant>>,
-    /// Number of times that the server has ended under a request. All its connections break off then.
+    /// Number of times that the server has crashed under a request. All its connections break off
+    /// then.
     pub crashes: watch::Sender<u64>,
-    /// Whether the server has ended and does not listen.
+    /// Whether the server has crashed and does not listen.
     is_down: Mutex<bool>,
 }
 
-/// Time for which a server is down after it has ended under a request.
+/// Time for which a server is down after it has crashed under a request.
 const DOWN_TIME: Duration = Duration::from_millis(800);
 
 impl ScriptedServer {
@@ -147,7 +148,7 @@
         }
     }
 
-    /// Returns whether the server is down after it has ended.
+    /// Returns whether the server is down after it has crashed.
     pub fn is_down(&self) -> bool {
         *self.is_down.lock()
     }
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -37,7 +37,7 @@
     ReadIndex(ReadIndexRequest),
     /// Reports to the leader which servers have announced themselves; one-way.
     ServersSeen(Vec<(ServerName, ServerIncarnation)>),
-    /// Reports requests that end servers to any replica.
+    /// Reports requests that crash servers to any replica.
     ReportRequests(RequestReport),
 }
 
--- a/crates/policy/src/recent_answers.rs
+++ b/crates/policy/src/recent_answers.rs
@@ -1,4 +1,4 @@
-//! Requests that servers have answered lately, which therefore do not end servers.
+//! Requests that servers have answered lately, which therefore do not crash servers.
 
 use std::{
     collections::{HashMap, VecDeque},
@@ -14,7 +14,7 @@
 /// The requests that one entry has seen answered lately.
 ///
 /// A request that many callers send is in progress at most servers that crash. Its other copies are
-/// answered, and that tells it from a request that ends servers.
+/// answered, and that tells it from a request that crashes servers.
 #[derive(Debug, Clone, Default)]
 pub struct RecentAnswers {
     last_answers: HashMap<RequestFingerprint, RecordedAnswer>,
--- a/crates/types/src/quarantine.rs
+++ b/crates/types/src/quarantine.rs
@@ -1,16 +1,17 @@
-//! Quarantine of requests that end the servers which run them, also known as queries of death.
+//! Quarantine of requests that crash the servers which run them, also known as queries of death.
 //!
-//! Entries report each unanswered request under which a server ended, and any replica records it. A
-//! request is blocked at all entries once [`BLOCKING_CRASHES`] servers have ended under it. Requests
-//! that were in progress at the same servers by accident are cleared when a server answers them;
-//! until then, a blocked request under which no fewer servers have ended explains their loss.
+//! Entries report each unanswered request under which a server crashed, and any replica records it.
+//! A request is blocked at all entries once [`BLOCKING_CRASHES`] servers have crashed under it.
+//! Requests that were in progress at the same servers by accident are cleared when a server answers
+//! them; until then, a blocked request under which no fewer servers have crashed explains their
+//! loss.
 
 use crate::{LogTime, RequestFingerprint, ServerIncarnation, ServerName};
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 use std::collections::BTreeMap;
 
-/// Number of servers that must have ended under a request before it is blocked.
+/// Number of servers that must have crashed under a request before it is blocked.
 pub const BLOCKING_CRASHES: usize = 3;
 /// Time after the last report at which a request leaves the quarantine, in milliseconds.
 pub const QUARANTINE_MS: u64 = 600_000;
@@ -24,7 +25,7 @@
 pub struct CrashReport {
     /// The request.
     pub request: RequestFingerprint,
-    /// The server that ended.
+    /// The server that crashed.
     pub server: ServerName,
     /// Its incarnation.
     pub incarnation: ServerIncarnation,
@@ -33,7 +34,7 @@
 /// What an entry reports about requests.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RequestReport {
-    /// Servers that ended under requests that no server has answered.
+    /// Servers that crashed under requests that no server has answered.
     pub crashes: Vec<CrashReport>,
     /// Requests in quarantine that a server has answered.
     pub answered: Vec<RequestFingerprint>,
@@ -54,7 +55,7 @@
 /// Evidence about one request.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 struct SuspectRecord {
-    /// Servers that ended under the request, at most [`MAX_CRASHES`].
+    /// Servers that crashed under the request, at most [`MAX_CRASHES`].
     crashes: SmallVec<[(ServerName, ServerIncarnation); BLOCKING_CRASHES]>,
     is_blocked: bool,
     last_report: LogTime,
@@ -99,8 +100,8 @@
         changes
     }
 
-    /// Records that a server has answered a request. A suspected request then leaves the quarantine;
-    /// a blocked one stays, since it may end servers only at times.
+    /// Records that a server has answered a request. A suspected request then leaves the
+    /// quarantine; a blocked one stays, since it may crash servers only at times.
     pub fn record_answer(&mut self, request: &RequestFingerprint) -> Option<QuarantineChange> {
         let is_suspected = self.stage(request) == Some(QuarantineStage::Suspected);
         is_suspected.then(|| self.remove(request))
@@ -120,7 +121,7 @@
     }
 
     /// Returns the number of servers whose end under this request no other one explains: a blocked
-    /// request under which no fewer servers have ended.
+    /// request under which no fewer servers have crashed.
     fn unexplained_crashes(&self, request: &RequestFingerprint) -> usize {
         let Some(record) = self.records.get(request) else {
             return 0;
--- a/crates/types/src/request_fingerprint.rs
+++ b/crates/types/src/request_fingerprint.rs
@@ -22,8 +22,8 @@
     }
 }
 
-/// Identifies requests that are alike: same method, host, target and body. The same on all hosts and
-/// in all builds.
+/// Identifies requests that are alike: same method, host, target and body. The same on all hosts
+/// and in all builds.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct RequestFingerprint {
     head: HeadHash,
--- a/crates/types/src/state.rs
+++ b/crates/types/src/state.rs
@@ -58,7 +58,7 @@
     /// Removes a server that sent no announcement for too long, unless it has restarted with
     /// another incarnation.
     Expire(ServerName, ServerIncarnation),
-    /// Records what an entry reports about requests that end servers.
+    /// Records what an entry reports about requests that crash servers.
     ReportRequests(RequestReport),
 }
 
--- a/crates/types/tests/quarantine.rs
+++ b/crates/types/tests/quarantine.rs
@@ -1,4 +1,5 @@
-//! Requests that end the servers which run them, and those that only were in progress beside them.
+//! Requests that crash the servers which run them, and those that only were in progress beside
+//! them.
 
 use hawthornhill_types::{
     BLOCKING_CRASHES, ClusterState, Command, CrashLedger, CrashReport, HeadHash, LogTime,
@@ -37,8 +38,8 @@
     assert_eq!(ledger.stage(&suspect), None);
 }
 
-/// Pattern: the same request comes from many callers all the time, while servers crash by themselves.
-/// Guards against blocking a request that servers answer.
+/// Pattern: the same request comes from many callers all the time, while servers crash by
+/// themselves. Guards against blocking a request that servers answer.
 #[test]
 fn answered_request_is_no_suspect() {
     let mut ledger = CrashLedger::default();
@@ -51,8 +52,8 @@
     }
 }
 
-/// Pattern: a request ends one server after the other, each with others in progress, which are lost
-/// and come back. Guards against blocking those in place of the culprit, or before it.
+/// Pattern: a request crashes one server after the other, each with others in progress, which are
+/// lost and come back. Guards against blocking those in place of the culprit, or before it.
 #[test]
 fn bystanders_of_a_fatal_request_are_not_blocked() {
     let fatal = request(0);
@@ -61,7 +62,8 @@
         let mut ledger = CrashLedger::default();
         let mut losses: BTreeMap<u64, BTreeSet<u64>> = BTreeMap::new();
         let mut next_request = 1;
-        // In the second half, the culprit is blocked; copies of it that were on their way still run.
+        // In the second half, the culprit is blocked; copies of it that were on their way still
+        // run.
         for server in 1..=2 * BLOCKING_CRASHES as u64 {
             let mut reports = vec![crash(fatal, server, 1)];
             for _ in 0..2 {
--- a/crates/types/tests/request_fingerprint.rs
+++ b/crates/types/tests/request_fingerprint.rs
@@ -2,8 +2,8 @@
 
 use hawthornhill_types::{HeadHash, RequestFingerprint};
 
-/// Guards against requests that differ and are taken for alike, also where the same bytes lie in other
-/// parts, and against hosts that compute other fingerprints.
+/// Guards against requests that differ and are taken for alike, also where the same bytes lie in
+/// other parts, and against hosts that compute other fingerprints.
 #[test]
 fn only_alike_requests_have_the_same_fingerprint() {
     let requests = [
