--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 mod local_quarantine;
 mod node;
 mod placer;
+mod reach_monitor;
 mod routes;
 mod server_connection;
 mod server_probe;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -8,6 +8,7 @@
     listener::StopStage,
     local_quarantine::LocalQuarantine,
     placer::ServerPlacer,
+    reach_monitor::ReachMonitor,
     routes::InstalledRoutes,
     servers::ServerTable,
 };
@@ -165,6 +166,8 @@
             table: table.clone(),
             dialect,
             memory: BodyMemory::new(settings.body_memory_bytes),
+            probes: metrics.decisions("probes", "Ends of probes of servers"),
+            monitor: ReachMonitor::new(logger.clone()),
         });
         let reporter = CrashReporter {
             placer: placer.clone(),
--- a/crates/gateway/src/placer.rs
+++ b/crates/gateway/src/placer.rs
@@ -3,7 +3,8 @@
 use crate::{
     WireDialect,
     body::BodyMemory,
-    server_probe::{PROBE_TIMEOUT, ProbeAnswer, ProbedServer, ServerProbe},
+    reach_monitor::ReachMonitor,
+    server_probe::{PROBE_TIMEOUT, ProbedServer, ServerProbe},
     servers::{BackendServer, ServerTable},
 };
 use futures_util::{StreamExt, stream::FuturesUnordered};
@@ -12,6 +13,7 @@
     is_warm_up_entry, rendezvous_rank,
 };
 use rand::seq::SliceRandom;
+use runtime::DecisionCounters;
 use smallvec::SmallVec;
 use std::{
     sync::Arc,
@@ -92,6 +94,10 @@
     pub(crate) table: Arc<ServerTable>,
     pub(crate) dialect: Arc<dyn WireDialect>,
     pub(crate) memory: Arc<BodyMemory>,
+    /// Counts the ends of probes.
+    pub(crate) probes: DecisionCounters,
+    /// Logs how many servers this entry has a path to.
+    pub(crate) monitor: ReachMonitor,
 }
 
 impl ServerPlacer {
@@ -103,6 +109,8 @@
         &self,
         request: &PlaceRequest<'_>,
     ) -> Result<(ProbedServer, usize), PlaceError> {
+        let service = &request.pool.service;
+        self.monitor.record(service, self.table.reach(service));
         let mut groups = self.probe_groups(request)?.into_iter();
         let mut search = PlaceSearch::default();
         loop {
@@ -223,14 +231,7 @@
         request: &PlaceRequest<'_>,
     ) -> Option<ProbedServer> {
         let probe = self.probe(&stale.server, &request.pool.health_path);
-        let answer = timeout(GROUP_TIMEOUT, probe.send_on(stale.connection)).await;
-        let ProbeAnswer { connection, candidate, .. } = answer.ok().flatten()?;
-        Some(ProbedServer {
-            server: stale.server,
-            connection,
-            candidate,
-            probed_at: Instant::now(),
-        })
+        timeout(GROUP_TIMEOUT, probe.repeat_on(stale.connection)).await.ok().flatten()
     }
 
     /// Returns the servers to probe, in groups and in the order of [`ServerRank`]. A group does not
@@ -359,6 +360,7 @@
             is_local: server.domain == self.domain,
             dialect: self.dialect.clone(),
             memory: self.memory.clone(),
+            counters: self.probes.clone(),
         }
     }
 }
--- a/crates/gateway/src/server_connection.rs
+++ b/crates/gateway/src/server_connection.rs
@@ -11,12 +11,13 @@
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
 use std::{
+    io,
     net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
 };
 use thiserror::Error;
-use tokio::{net::TcpStream, task::AbortHandle, time::timeout};
+use tokio::{net::TcpStream, task::AbortHandle};
 
 /// Maximum size of a response head, and of the read buffer of a connection, in bytes.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
@@ -65,31 +66,20 @@
 }
 
 impl ServerConnection {
-    /// Opens a connection. `connect_timeout` limits the time for the TCP connect.
-    pub(crate) async fn open(
-        address: SocketAddr,
-        connect_timeout: Duration,
-    ) -> Result<Self, ExchangeError> {
-        let not_sent = |reason: String| ExchangeError::NotSent(reason);
-        let stream = timeout(connect_timeout, TcpStream::connect(address))
-            .await
-            .map_err(|_| not_sent("connect timed out".to_owned()))?
-            .map_err(|error| not_sent(error.to_string()))?;
-        Self::on_stream(stream).await
+    /// Opens a connection.
+    pub(crate) async fn open(address: SocketAddr) -> io::Result<Self> {
+        Self::on_stream(TcpStream::connect(address).await?).await
     }
 
     /// Uses a connected stream.
-    pub(crate) async fn on_stream(stream: TcpStream) -> Result<Self, ExchangeError> {
-        let not_sent = |reason: String| ExchangeError::NotSent(reason);
-        stream.set_nodelay(true).map_err(|error| not_sent(error.to_string()))?;
-        SockRef::from(&stream)
-            .set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))
-            .map_err(|error| not_sent(error.to_string()))?;
+    pub(crate) async fn on_stream(stream: TcpStream) -> io::Result<Self> {
+        stream.set_nodelay(true)?;
+        SockRef::from(&stream).set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))?;
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
             .handshake(TokioIo::new(stream))
             .await
-            .map_err(|error| not_sent(error.to_string()))?;
+            .map_err(io::Error::other)?;
         // Errors of the connection are reported by the request in flight.
         let driver = tokio::spawn(async move { drop(connection.await) }).abort_handle();
         Ok(Self { sender, driver, keep_alive: DEFAULT_KEEP_ALIVE, last_used: Instant::now() })
--- a/crates/gateway/src/server_probe.rs
+++ b/crates/gateway/src/server_probe.rs
@@ -10,8 +10,9 @@
 use http::{Request, StatusCode, header};
 use http_body_util::Full;
 use policy::{PlacementCandidate, ServerLoad, SignalSource};
+use runtime::DecisionCounters;
 use std::{
-    io::ErrorKind,
+    io::{self, ErrorKind},
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -36,12 +37,43 @@
 }
 
 /// The response to a probe.
-pub(crate) struct ProbeAnswer {
-    pub(crate) connection: ServerConnection,
-    pub(crate) candidate: PlacementCandidate,
+struct ProbeAnswer {
+    connection: ServerConnection,
+    candidate: PlacementCandidate,
     warm_up_left: Duration,
 }
 
+/// The reason why a probe found no server for a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ProbeFailure {
+    /// The server's address refused the connection.
+    Refused,
+    /// The connection could not be opened for another reason.
+    NotConnected,
+    /// The connection broke off before a whole response had arrived.
+    BrokenOff,
+    /// Another server responded, or one without a name.
+    OtherServer,
+    /// The server responded, but wants no request or closes the connection.
+    NotUsable,
+    /// Nothing arrived within [`PROBE_TIMEOUT`].
+    TimedOut,
+}
+
+impl ProbeFailure {
+    /// Returns the name of the failure in the counters.
+    fn name(self) -> &'static str {
+        match self {
+            Self::Refused => "connect-refused",
+            Self::NotConnected => "connect-failed",
+            Self::BrokenOff => "broken-off",
+            Self::OtherServer => "other-server",
+            Self::NotUsable => "not-usable",
+            Self::TimedOut => "timed-out",
+        }
+    }
+}
+
 /// A probe of one server.
 pub(crate) struct ServerProbe {
     pub(crate) server: Arc<BackendServer>,
@@ -51,6 +83,8 @@
     pub(crate) is_local: bool,
     pub(crate) dialect: Arc<dyn WireDialect>,
     pub(crate) memory: Arc<BodyMemory>,
+    /// Counts the ends of probes.
+    pub(crate) counters: DecisionCounters,
 }
 
 impl ServerProbe {
@@ -58,23 +92,24 @@
     pub(crate) async fn run(self) -> Option<ProbedServer> {
         let result = timeout(PROBE_TIMEOUT, self.send()).await;
         let now = Instant::now();
-        let probed = result.ok().flatten();
-        self.server.record_probe(now, probed.is_some());
-        let ProbeAnswer { connection, candidate, warm_up_left } = probed?;
+        let result = result.unwrap_or(Err(ProbeFailure::TimedOut));
+        self.counters.count(result.as_ref().err().map_or("answered", |failure| failure.name()));
+        self.server.record_probe(now, result.is_ok());
+        let ProbeAnswer { connection, candidate, warm_up_left } = result.ok()?;
         self.server.record_load(now, candidate.load.is_full());
         self.server.record_warm_up(now, warm_up_left);
         Some(ProbedServer { server: self.server, connection, candidate, probed_at: now })
     }
 
     /// Sends the probe on an idle connection, or on a new one if there is none or it fails.
-    async fn send(&self) -> Option<ProbeAnswer> {
+    async fn send(&self) -> Result<ProbeAnswer, ProbeFailure> {
         if let Some(connection) = self.server.take_connection(Instant::now())
-            && let Some(answer) = self.send_on(connection).await
+            && let Ok(answer) = self.send_on(connection).await
         {
-            return Some(answer);
+            return Ok(answer);
         }
-        let connection = ServerConnection::open(self.server.address, PROBE_TIMEOUT).await.ok()?;
-        self.send_on(connection).await
+        let connection = ServerConnection::open(self.server.address).await;
+        self.send_on(connection.map_err(connect_failure)?).await
     }
 
     /// Returns whether nothing listens at the server's address, or another server does. A server
@@ -121,18 +156,19 @@
     }
 
     /// Sends the probe on a connection. Returns `None` if a request cannot follow on it.
-    pub(crate) async fn send_on(&self, mut connection: ServerConnection) -> Option<ProbeAnswer> {
-        let (answer, metadata) = self.exchange(&mut connection).await?;
+    async fn send_on(&self, mut connection: ServerConnection) -> Result<ProbeAnswer, ProbeFailure> {
+        let exchanged = self.exchange(&mut connection).await;
+        let (answer, metadata) = exchanged.ok_or(ProbeFailure::BrokenOff)?;
         // Ignores a response from another server or without a server name.
         if !metadata.server.as_deref().is_some_and(|name| self.is_own_name(name)) {
-            return None;
+            return Err(ProbeFailure::OtherServer);
         }
         let now = Instant::now();
         let signals = metadata.signals(answer.status);
         self.server.record_signals(now, SignalSource::Probe, signals);
         // The request would be sent on this connection.
         if !answer.is_keep_alive || self.server.held_until(now).is_some() {
-            return None;
+            return Err(ProbeFailure::NotUsable);
         }
         let warm_up_left = metadata.warm_up_left.unwrap_or_default();
         let candidate = PlacementCandidate {
@@ -142,6 +178,20 @@
             is_unhealthy: answer.status != StatusCode::OK,
             failure_share: self.server.failure_share(Instant::now()),
         };
-        Some(ProbeAnswer { connection, candidate, warm_up_left })
+        Ok(ProbeAnswer { connection, candidate, warm_up_left })
+    }
+
+    /// Sends the probe once more on the connection on which the server has responded before.
+    pub(crate) async fn repeat_on(self, connection: ServerConnection) -> Option<ProbedServer> {
+        let ProbeAnswer { connection, candidate, .. } = self.send_on(connection).await.ok()?;
+        Some(ProbedServer { server: self.server, connection, candidate, probed_at: Instant::now() })
+    }
+}
+
+/// Returns the failure that an error of opening a connection means.
+fn connect_failure(error: io::Error) -> ProbeFailure {
+    match error.kind() {
+        ErrorKind::ConnectionRefused => ProbeFailure::Refused,
+        _ => ProbeFailure::NotConnected,
     }
 }
--- a/crates/gateway/src/server_search.rs
+++ b/crates/gateway/src/server_search.rs
@@ -27,7 +27,7 @@
     /// Finds a server with free capacity. While all are full, requests wait in a queue until
     /// [`Self::wait_deadline`]; those that can still meet their target latency go first. If the
     /// queue holds [`MAX_QUEUED`] requests, a request that has found no server is refused, even if
-    /// it is queued itself.
+    /// it is queued itself. The error is that of the last search.
     pub(crate) async fn find_server(
         &self,
         call: &ForwardedCall,
@@ -38,6 +38,7 @@
         let service_time = self.service_time(call);
         let mut rank = call.rank(started, service_time);
         let wait_deadline = self.wait_deadline(call, started);
+        let mut obstacle = PlaceError::Full;
         loop {
             let now = Instant::now();
             let current = call.rank(now, service_time);
@@ -55,7 +56,7 @@
                     .is_err()
                 {
                     if Instant::now() >= wait_deadline {
-                        return Err(PlaceError::Full);
+                        return Err(obstacle);
                     }
                     continue;
                 }
@@ -64,7 +65,7 @@
                         self.metrics.placing.observe(started.elapsed().as_secs_f64());
                         return Ok(probed);
                     }
-                    Err(PlaceError::Full) => {}
+                    Err(PlaceError::Full) => obstacle = PlaceError::Full,
                     Err(error @ PlaceError::Held(wait))
                         if wait.is_none_or(|wait| now + wait >= wait_deadline) =>
                     {
@@ -75,11 +76,11 @@
                     {
                         return Err(error);
                     }
-                    Err(_) => {}
+                    Err(error) => obstacle = error,
                 }
             }
             if Instant::now() + REPROBE_DELAY >= wait_deadline || queue.len() >= MAX_QUEUED {
-                return Err(PlaceError::Full);
+                return Err(obstacle);
             }
             if position.is_none() {
                 position = Some(queue.push(rank));
--- a/crates/gateway/src/servers.rs
+++ b/crates/gateway/src/servers.rs
@@ -4,8 +4,8 @@
 use crate::server_connection::ServerConnection;
 use parking_lot::{Mutex, RwLock};
 use policy::{
-    ColdAllowance, EntryPlace, HoldEnd, RequestLimit, ServerHold, ServerSignals, SignalSource,
-    rendezvous_weight,
+    ColdAllowance, EntryPlace, HoldEnd, RequestLimit, ServerHold, ServerReach, ServerSignals,
+    SignalSource, rendezvous_weight,
 };
 use runtime::Logger;
 use slog::info;
@@ -117,6 +117,11 @@
         self.state.lock().backoff_until.is_some_and(|until| now < until)
     }
 
+    /// Returns whether the server answered its last probe. One that has not been probed counts too.
+    pub(crate) fn is_reachable(&self) -> bool {
+        self.state.lock().failed_probes == 0
+    }
+
     /// Records whether the server responded to a probe.
     pub(crate) fn record_probe(&self, now: Instant, has_answered: bool) {
         let mut state = self.state.lock();
@@ -297,6 +302,13 @@
         self.services.read().get(service).cloned().unwrap_or_default()
     }
 
+    /// Returns how many servers of a service this entry has a path to.
+    pub(crate) fn reach(&self, service: &ServiceName) -> ServerReach {
+        let servers = self.servers(service);
+        let reachable = servers.iter().filter(|server| server.is_reachable()).count();
+        ServerReach { reachable, listed: servers.len() }
+    }
+
     /// Returns whether a server may still receive new requests.
     pub(crate) fn is_listed(&self, service: &ServiceName, server: &BackendServer) -> bool {
         let services = self.services.read();
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -21,6 +21,7 @@
 mod retry_delay;
 mod selection;
 mod server_hold;
+mod server_reach;
 mod service_load;
 mod service_time;
 mod shared_budget;
@@ -50,6 +51,7 @@
 pub use retry_delay::{CapacityForecast, retry_delay};
 pub use selection::{CandidateLoad, LatencySelector, ServerSelector};
 pub use server_hold::{HoldEnd, ServerHold, ServerSignals, SignalSource, first_hold_end};
+pub use server_reach::{ReachLevel, ServerReach};
 pub use service_load::{
     BalancerSettings, PickResult, PickedServer, ReleaseOutcome, ServerReport, ServerStatus,
     ServiceBalancer, expected_wait,
