--- /dev/null
+++ b/crates/gateway/tests/harness/server_link.rs
@@ -0,0 +1,95 @@
+//! Links between entries and scripted servers that a test can cut.
+
+use parking_lot::Mutex;
+use std::{net::SocketAddr, sync::Arc};
+use tokio::{
+    io::copy_bidirectional,
+    net::{TcpListener, TcpStream},
+    sync::watch,
+    task::JoinSet,
+};
+
+/// The state of a link.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LinkState {
+    /// Connections are forwarded.
+    Open,
+    /// Open connections are silent, and new ones get no answer.
+    Silent,
+    /// Open connections are reset, and new ones are refused.
+    Reset,
+    /// Open connections are forwarded, and new ones are refused.
+    RefusesNew,
+}
+
+/// Forwards connections from one entry to one server.
+pub struct ServerLink {
+    pub address: SocketAddr,
+    state: watch::Sender<LinkState>,
+    open: Mutex<Vec<tokio::task::AbortHandle>>,
+}
+
+impl ServerLink {
+    /// Opens a link to a server.
+    pub async fn open(server: SocketAddr) -> Arc<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let address = listener.local_addr().expect("bound");
+        let state = watch::Sender::new(LinkState::Open);
+        let link = Arc::new(Self { address, state, open: Mutex::default() });
+        tokio::spawn(link.clone().run(server, listener));
+        link
+    }
+
+    /// Changes the state of the link.
+    pub fn set(&self, state: LinkState) {
+        self.state.send_replace(state);
+        if state == LinkState::Reset {
+            self.open.lock().drain(..).for_each(|connection| connection.abort());
+        }
+    }
+
+    async fn run(self: Arc<Self>, server: SocketAddr, listener: TcpListener) {
+        let mut state = self.state.subscribe();
+        let mut listener = Some(listener);
+        let mut connections = JoinSet::new();
+        loop {
+            let current = *state.borrow_and_update();
+            let refuses = matches!(current, LinkState::Reset | LinkState::RefusesNew);
+            if refuses {
+                listener = None;
+            } else if listener.is_none() {
+                listener = TcpListener::bind(self.address).await.ok();
+            }
+            let accepted = async {
+                match (&listener, current) {
+                    (Some(listener), LinkState::Open) => listener.accept().await,
+                    _ => std::future::pending().await,
+                }
+            };
+            tokio::select! {
+                Ok((stream, _)) = accepted => {
+                    let forwarded = forward(stream, server, self.state.subscribe());
+                    self.open.lock().push(connections.spawn(forwarded));
+                }
+                changed = state.changed() => if changed.is_err() { return },
+            }
+        }
+    }
+}
+
+/// Forwards a connection while the link is not silent. Dropping the future resets the connection.
+async fn forward(mut stream: TcpStream, server: SocketAddr, mut state: watch::Receiver<LinkState>) {
+    stream.set_zero_linger().expect("a socket option");
+    let Ok(mut to_server) = TcpStream::connect(server).await else {
+        return;
+    };
+    loop {
+        tokio::select! {
+            _ = copy_bidirectional(&mut stream, &mut to_server) => return,
+            silent = state.wait_for(|state| *state == LinkState::Silent) => drop(silent),
+        }
+        if state.wait_for(|state| *state != LinkState::Silent).await.is_err() {
+            return;
+        }
+    }
+}
