--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 mod answer;
 mod answer_body;
 mod attempt;
+mod attempt_loop;
 mod body;
 mod call;
 mod connection;
