--- a/crates/daemon/src/site.rs
+++ b/crates/daemon/src/site.rs
@@ -145,6 +145,9 @@
 
     async fn start_entry(&self) -> Result<Arc<GatewayNode>> {
         let settings = &self.settings;
+        if settings.relay_port.is_none() {
+            warn!(self.logger, "relays are off: internalPorts names a single port");
+        }
         let unused_address = SocketAddr::new(IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0);
         let info = EntryInfo {
             name: settings.host.as_str().parse()?,
@@ -159,6 +162,7 @@
         };
         let gateway = GatewaySettings {
             info,
+            relay_port: settings.relay_port,
             budget: settings.budget,
             startup_wait: StartupWait::default(),
             body_memory_bytes: settings.memory_bytes / BODY_MEMORY_DIVISOR,
--- a/crates/gateway/src/answer_body.rs
+++ b/crates/gateway/src/answer_body.rs
@@ -1,6 +1,9 @@
 //! Bodies of responses: small ones are held in memory, large ones are streamed to the caller.
 
-use crate::{body::MemoryReservation, server_connection::ServerConnection, servers::BackendServer};
+use crate::{
+    body::MemoryReservation,
+    server_connection::{ConnectionOwner, ServerConnection},
+};
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -44,7 +47,7 @@
     length: Option<u64>,
     taken_bytes: u64,
     deadline: Instant,
-    server: Arc<BackendServer>,
+    owner: Arc<dyn ConnectionOwner>,
     /// The connection, returned to the pool after the last byte if it may be used again.
     connection: Option<ServerConnection>,
     may_reuse: bool,
@@ -52,8 +55,7 @@
 
 impl fmt::Debug for AnswerStream {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let server = self.server.name.as_str();
-        f.debug_struct("AnswerStream").field("server", &server).finish_non_exhaustive()
+        f.debug_struct("AnswerStream").field("owner", &self.owner.name()).finish_non_exhaustive()
     }
 }
 
@@ -73,7 +75,7 @@
         rest: Incoming,
         length: Option<u64>,
         deadline: Instant,
-        server: Arc<BackendServer>,
+        owner: Arc<dyn ConnectionOwner>,
         connection: ServerConnection,
         may_reuse: bool,
     ) -> Self {
@@ -83,7 +85,7 @@
             length,
             taken_bytes: 0,
             deadline,
-            server,
+            owner,
             connection: Some(connection),
             may_reuse,
         }
@@ -111,11 +113,11 @@
             Ok(Some(_)) => {}
             Ok(None) => {
                 if let Some(connection) = self.connection.take().filter(|_| self.may_reuse) {
-                    self.server.put_connection(connection);
+                    self.owner.put_connection(connection);
                 }
             }
             Err(_) => {
-                self.server.record_outcome(Instant::now(), true);
+                self.owner.record_broken_answer(Instant::now());
                 self.connection = None;
             }
         }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -6,9 +6,11 @@
     answer_body::{AnswerBody, AnswerStream},
     body::{BodyMemory, BodyStart},
     local_quarantine::QuarantineStages,
-    server_connection::{ExchangeError, ServerAnswer, ServerConnection},
+    relay::RELAY_FIELD,
+    server_connection::{
+        ConnectionOwner, ExchangeError, MAX_HELD_BODY_BYTES, ServerAnswer, ServerConnection,
+    },
     server_probe::ProbedServer,
-    servers::BackendServer,
 };
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Method, Request, StatusCode, Uri, header};
@@ -18,10 +20,6 @@
 use tokio::time::timeout_at;
 use types::{HeadHash, QuarantineStage, RequestFingerprint};
 
-/// Size above which a body is streamed instead of held, in bytes. A response whose body breaks off
-/// before that is not forwarded, so that the request may be repeated.
-const MAX_HELD_BODY_BYTES: usize = 64 * 1024;
-
 /// A request in the form in which it is sent to servers.
 #[derive(Debug, Clone)]
 pub(crate) struct PreparedRequest {
@@ -72,6 +70,8 @@
     Failed(GatewayAnswer),
     /// The server did not run the request.
     NotRun(String),
+    /// Another entry refused the request: no server ran it. Holds the refusal.
+    Refused(GatewayAnswer),
     /// The server may have run the request.
     Unknown(String),
     /// The deadline passed; the server may have run the request.
@@ -85,6 +85,7 @@
             Self::Answered(_) => "answered",
             Self::Failed(_) => "failed",
             Self::NotRun(_) => "not-run",
+            Self::Refused(_) => "refused",
             Self::Unknown(_) => "unknown",
             Self::TimedOut => "timed-out",
         }
@@ -137,7 +138,7 @@
     };
     match &result {
         AttemptResult::Answered(_) => server.record_outcome(now, false),
-        AttemptResult::NotRun(_) => {}
+        AttemptResult::NotRun(_) | AttemptResult::Refused(_) => {}
         AttemptResult::Failed(_) | AttemptResult::Unknown(_) | AttemptResult::TimedOut => {
             server.record_outcome(now, true);
         }
@@ -190,22 +191,39 @@
     AnswerClass::Forwarded
 }
 
+/// Classifies a server's response that another entry passed on.
+pub(crate) fn classify_relayed_answer(
+    request: &PreparedRequest,
+    answer: ServerAnswer,
+    owner: Arc<dyn ConnectionOwner>,
+    connection: ServerConnection,
+    dialect: &Arc<dyn WireDialect>,
+) -> AttemptResult {
+    let metadata = dialect.answer_metadata(&answer.headers);
+    let is_other_request = metadata.request_id.is_some() && metadata.request_id != request.id;
+    if is_other_request || (answer.status.is_success() && !metadata.is_signed) {
+        return AttemptResult::Unknown("the relayed answer is not the server's own".to_owned());
+    }
+    forward_answer(request, answer, owner, connection)
+}
+
 /// Returns the response for the caller. If its body is complete, the connection returns to the
 /// pool; otherwise the response takes the connection.
 fn forward_answer(
     request: &PreparedRequest,
     answer: ServerAnswer,
-    server: Arc<BackendServer>,
+    owner: Arc<dyn ConnectionOwner>,
     connection: ServerConnection,
 ) -> AttemptResult {
     let ServerAnswer { status, mut headers, length, body, is_keep_alive } = answer;
     remove_hop_headers(&mut headers);
     headers.remove(header::CONTENT_LENGTH);
+    headers.remove(RELAY_FIELD);
     let BodyStart { bytes, reservation, rest } = body;
     let body = match rest {
         None => {
             if is_keep_alive {
-                server.put_connection(connection);
+                owner.put_connection(connection);
             }
             AnswerBody::Whole(bytes, Some(reservation))
         }
@@ -214,7 +232,7 @@
             rest,
             length,
             request.deadline,
-            server,
+            owner,
             connection,
             is_keep_alive,
         ))),
--- a/crates/gateway/src/attempt_loop.rs
+++ b/crates/gateway/src/attempt_loop.rs
@@ -5,6 +5,7 @@
     call::ForwardedCall,
     forwarder::{RequestForwarder, id_text, initial_service_time},
     placer::PlaceError,
+    relay_attempt::AttemptTarget,
     server_probe::ProbedServer,
 };
 use futures_util::future::Either;
@@ -34,16 +35,24 @@
             if self.is_blocked(call) {
                 return last.ok_or(PlaceError::Quarantined);
             }
-            if last.is_some() && !self.take_retry(call, last.as_ref()) {
+            let is_refused_elsewhere = matches!(last, Some(AttemptResult::Refused(_)));
+            if last.is_some() && !is_refused_elsewhere && !self.take_retry(call, last.as_ref()) {
                 break;
             }
-            let placed = self.find_server(call).await;
+            let placed = self.find_target(call).await;
             let result = match (placed, last.take()) {
-                (Ok(probed), _) => self.run_hedged(call, probed).await,
+                (Ok(AttemptTarget::Server(probed)), _) => self.run_hedged(call, probed).await,
+                // The other entry hedges.
+                (Ok(AttemptTarget::Entry(found)), _) => self.try_entry(call, found).await,
                 (Err(_), Some(result)) => return Ok(result),
                 (Err(error), None) => return Err(error),
             };
-            if matches!(result, AttemptResult::Answered(_)) {
+            let is_final = match &result {
+                AttemptResult::Answered(_) => true,
+                AttemptResult::Refused(_) => !call.attempt_log.lock().may_relay_again,
+                _ => false,
+            };
+            if is_final {
                 return Ok(result);
             }
             last = Some(result);
@@ -63,7 +72,9 @@
         let is_safe = match last {
             Some(AttemptResult::NotRun(_)) | None => true,
             Some(AttemptResult::Failed(_) | AttemptResult::Unknown(_)) => call.route.is_idempotent,
-            Some(AttemptResult::Answered(_) | AttemptResult::TimedOut) => false,
+            Some(
+                AttemptResult::Answered(_) | AttemptResult::Refused(_) | AttemptResult::TimedOut,
+            ) => false,
         };
         is_safe && now < call.request.deadline && self.take_from_budget(call, now)
     }
@@ -71,7 +82,7 @@
     /// Takes one retry or hedge from this entry's share of the service's retry budget. Returns
     /// whether the budget allowed it.
     fn take_from_budget(&self, call: &ForwardedCall, now: Instant) -> bool {
-        let entries = call.view.entries().filter(|entry| entry.serving).count();
+        let entries = call.serving_entries();
         let is_granted = self.with_service(&call.pool.service, |state| {
             state.budget.take(now, &self.budget, entries)
         });
@@ -99,8 +110,9 @@
             return first.await;
         }
         let second = pin!(async {
-            match self.find_server(call).await {
-                Ok(probed) => Some(self.try_server(call, probed).await),
+            match self.find_target(call).await {
+                Ok(AttemptTarget::Server(probed)) => Some(self.try_server(call, probed).await),
+                Ok(AttemptTarget::Entry(found)) => Some(self.try_entry(call, found).await),
                 Err(_) => None,
             }
         });
@@ -145,7 +157,7 @@
                 attempt_log.was_answered = true
             }
             AttemptResult::Unknown(_) => attempt_log.lost.push(server),
-            AttemptResult::NotRun(_) | AttemptResult::TimedOut => {}
+            AttemptResult::NotRun(_) | AttemptResult::Refused(_) | AttemptResult::TimedOut => {}
         }
         attempt_log.may_have_run |= !matches!(result, AttemptResult::NotRun(_));
         let reason = match &result {
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -16,7 +16,7 @@
     sync::Arc,
     time::{Duration, Instant},
 };
-use types::{ClusterView, PoolSpec, QuarantineStage, RouteSpec, ServerName};
+use types::{ClusterView, PoolSpec, QuarantineStage, RouteSpec, RoutingVersion, ServerName};
 
 /// Maximum size of a body that is hashed after an answer, in bytes. Requests with larger bodies are
 /// not kept as answered.
@@ -45,6 +45,10 @@
     /// Estimated time that the caller has spent on earlier attempts.
     pub(crate) earlier_attempts_time: Duration,
     pub(crate) view: Arc<ClusterView>,
+    /// Version of the routing document that the route is from.
+    pub(crate) routing: RoutingVersion,
+    /// Whether the request comes from another entry, which must not be relayed again.
+    pub(crate) is_relayed: bool,
     pub(crate) attempt_log: Mutex<AttemptLog>,
     /// The request's stage in the quarantine when it arrived.
     pub(crate) stage: Option<QuarantineStage>,
@@ -106,6 +110,11 @@
         if latest_start > now { latest_start.min(end) } else { end }
     }
 
+    /// Returns the number of entries that serve callers.
+    pub(crate) fn serving_entries(&self) -> usize {
+        self.view.entries().filter(|entry| entry.serving).count()
+    }
+
     /// Returns whether the route's `max_attempts` allows another attempt. Hedged attempts count. A
     /// request that is suspected of crashing servers gets a single attempt.
     pub(crate) fn may_add_attempt(&self) -> bool {
@@ -113,7 +122,8 @@
             Some(_) => 1,
             None => usize::from(self.route.max_attempts),
         };
-        self.attempt_log.lock().tried.len() < limit
+        let attempt_log = self.attempt_log.lock();
+        !attempt_log.is_exhausted && attempt_log.tried.len() < limit
     }
 }
 
@@ -130,6 +140,12 @@
     pub(crate) lost: SmallVec<[Arc<BackendServer>; 2]>,
     /// Whether a server has answered the request, with whatever status.
     pub(crate) was_answered: bool,
+    /// Whether the request may be sent to another entry if the last one refused it.
+    pub(crate) may_relay_again: bool,
+    /// Number of other entries that the request was sent to.
+    pub(crate) relay_count: usize,
+    /// Whether another entry may have used up the attempts without saying so.
+    pub(crate) is_exhausted: bool,
     /// Whether a server may have run the request.
     pub(crate) may_have_run: bool,
     /// Whether the server of the last attempt had a free slot when it was probed.
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -10,7 +10,7 @@
         AnswerFraming, BodyDecoder, CONTINUE_RESPONSE, HeadError, LAST_CHUNK, RequestHead,
         answer_framing, encode_head, encode_part, parse_head,
     },
-    listener::StopStage,
+    listener::{RequestSource, StopStage},
 };
 use bytes::{Bytes, BytesMut};
 use futures_util::{FutureExt, StreamExt, future::BoxFuture, stream::FuturesOrdered};
@@ -32,6 +32,8 @@
 
 /// Maximum number of requests of one connection that run concurrently.
 const MAX_PIPELINED: usize = 16;
+/// Maximum number of bytes that an entry adds to the head of a request that it relays.
+const MAX_RELAY_FIELD_BYTES: usize = 4 * 1024;
 /// Maximum number of bytes that are read ahead while requests run, in order to detect that the
 /// caller has closed the connection.
 const READ_AHEAD_BYTES: usize = 64 * 1024;
@@ -72,6 +74,7 @@
 /// A caller's connection.
 pub(crate) struct CallerConnection {
     stream: TcpStream,
+    source: RequestSource,
     caller: Option<IpAddr>,
     forwarder: Arc<RequestForwarder>,
     limits: CallerLimits,
@@ -95,6 +98,7 @@
 impl CallerConnection {
     pub(crate) fn new(
         stream: TcpStream,
+        source: RequestSource,
         forwarder: Arc<RequestForwarder>,
         stop: watch::Receiver<StopStage>,
     ) -> Self {
@@ -102,6 +106,7 @@
         let caller = stream.peer_addr().ok().map(|address| address.ip());
         Self {
             stream,
+            source,
             caller,
             forwarder,
             limits,
@@ -208,9 +213,12 @@
             let PendingRequest { request, traits } = pending;
             self.is_exclusive = !may_run_concurrently;
             self.is_input_closed = traits.is_last;
-            let forwarder = self.forwarder.clone();
+            let (forwarder, source) = (self.forwarder.clone(), self.source);
             let run = async move {
-                let answer = forwarder.forward(request).await;
+                let answer = match source {
+                    RequestSource::Callers => forwarder.forward(request).await,
+                    RequestSource::Entries => forwarder.answer_entry(request).await,
+                };
                 FinishedRequest { answer, traits }
             };
             self.running.push_back(run.boxed());
@@ -266,7 +274,11 @@
 
     /// Parses a head from the buffer, and sends `100 Continue` if the caller waits for it.
     async fn read_head(&mut self) -> io::Result<()> {
-        let max_bytes = self.limits.max_head_bytes as usize;
+        let relay_bytes = match self.source {
+            RequestSource::Callers => 0,
+            RequestSource::Entries => MAX_RELAY_FIELD_BYTES,
+        };
+        let max_bytes = self.limits.max_head_bytes as usize + relay_bytes;
         let (head, length) = match parse_head(&self.buffer, max_bytes) {
             Ok(Some(parsed)) => parsed,
             Ok(None) => return Ok(()),
--- a/crates/gateway/src/final_answer.rs
+++ b/crates/gateway/src/final_answer.rs
@@ -39,6 +39,11 @@
                 "not-run",
             )
         }
+        Ok(AttemptResult::Refused(answer)) if !may_have_run => (answer, "refused-elsewhere"),
+        Ok(AttemptResult::Refused(_)) => {
+            let reason = "it is not known whether the request ran";
+            (GatewayAnswer::own(StatusCode::BAD_GATEWAY, reason), "unknown")
+        }
         Ok(AttemptResult::NotRun(reason) | AttemptResult::Unknown(reason)) => {
             let reason = format!("it is not known whether the request ran: {reason}");
             (GatewayAnswer::own(StatusCode::BAD_GATEWAY, &reason), "unknown")
--- a/crates/gateway/src/forwarder.rs
+++ b/crates/gateway/src/forwarder.rs
@@ -1,14 +1,15 @@
 //! Forwards requests: finds the route, runs the attempts, and builds the final response.
 
 use crate::{
-    GatewayAnswer, RequestMetadata, WireDialect,
+    GatewayAnswer, GatewaySettings, RequestMetadata, WireDialect,
     answer::remove_hop_headers,
-    attempt::PreparedRequest,
+    attempt::{AttemptResult, PreparedRequest},
     body::BodyMemory,
-    call::{CallerRequest, ForwardedCall},
+    call::{AttemptLog, CallerRequest, ForwardedCall},
     crash_reporter::QuarantineClient,
     final_answer::final_answer,
     placer::ServerPlacer,
+    relay::{RelayAnswer, RelayClient, TriedServers, attach_answer},
     routes::InstalledRoutes,
     service_queue::ServiceQueue,
 };
@@ -20,13 +21,16 @@
 };
 use runtime::{DecisionCounters, Histogram, Logger};
 use slog::{info, warn};
+use smallvec::SmallVec;
 use std::{
     collections::HashMap,
     sync::Arc,
     time::{Duration, Instant},
 };
 use tokio::{sync::watch, time::timeout_at};
-use types::{CallerLimits, ClusterView, QuarantineStage, RouteSpec, ServiceName};
+use types::{
+    CallerLimits, ClusterView, PoolSpec, QuarantineStage, RouteSpec, RoutingVersion, ServiceName,
+};
 
 /// Base of the retry time that callers get while the entry has no routes: the typical time from the
 /// start of an entry until it has routes.
@@ -37,6 +41,30 @@
 /// Initial estimate of the service time, as a fraction of the route's target latency.
 const INITIAL_SERVICE_TIME_SHARE: f64 = 0.4;
 
+/// Where a request comes from.
+pub(crate) enum CallOrigin {
+    /// A caller of this entry.
+    Caller,
+    /// Another entry.
+    Entry {
+        /// Servers that it already sent the request to.
+        tried: TriedServers,
+        /// Whether the request counts in this entry's share of the retry budget.
+        is_budgeted: bool,
+    },
+}
+
+/// A request with the service that it is for.
+pub(crate) struct RoutedRequest {
+    pub(crate) request: CallerRequest,
+    pub(crate) metadata: RequestMetadata,
+    pub(crate) route: Arc<RouteSpec>,
+    pub(crate) pool: PoolSpec,
+    /// Version of the routing document that the route is from.
+    pub(crate) routing: RoutingVersion,
+    pub(crate) origin: CallOrigin,
+}
+
 /// The state that an entry keeps for one service.
 #[derive(Default)]
 pub(crate) struct ServiceState {
@@ -56,6 +84,7 @@
 /// Forwards the requests of one entry.
 pub(crate) struct RequestForwarder {
     pub(crate) placer: Arc<ServerPlacer>,
+    pub(crate) relay: Arc<RelayClient>,
     pub(crate) dialect: Arc<dyn WireDialect>,
     pub(crate) memory: Arc<BodyMemory>,
     pub(crate) view: Arc<RwLock<Arc<ClusterView>>>,
@@ -73,24 +102,25 @@
 impl RequestForwarder {
     pub(crate) fn new(
         placer: Arc<ServerPlacer>,
+        relay: Arc<RelayClient>,
         quarantine: QuarantineClient,
         view: Arc<RwLock<Arc<ClusterView>>>,
-        budget: BudgetLimits,
-        startup_wait: StartupWait,
+        settings: &GatewaySettings,
         metrics: ForwardMetrics,
         logger: Logger,
     ) -> Arc<Self> {
         let (dialect, memory) = (placer.dialect.clone(), placer.memory.clone());
         Arc::new(Self {
             placer,
+            relay,
             quarantine,
             dialect,
             memory,
             view,
             routes: watch::Sender::new(None),
-            startup_wait,
+            startup_wait: settings.startup_wait,
             started: Instant::now(),
-            budget,
+            budget: settings.budget,
             metrics,
             logger,
             services: Mutex::default(),
@@ -146,6 +176,14 @@
             let answer = GatewayAnswer::own(StatusCode::NOT_FOUND, "the route has no service");
             return self.finish_unrouted(&metadata, "no-service", answer);
         };
+        let routing = routes.document.version;
+        let origin = CallOrigin::Caller;
+        self.forward_routed(RoutedRequest { request, metadata, route, pool, routing, origin }).await
+    }
+
+    /// Forwards a request whose service is known.
+    pub(crate) async fn forward_routed(self: &Arc<Self>, routed: RoutedRequest) -> GatewayAnswer {
+        let RoutedRequest { request, metadata, route, pool, routing, origin } = routed;
         let CallerRequest { method, target, mut headers, body, reservation, arrived, caller } =
             request;
         let caller_wait = metadata.time_allowed.unwrap_or(route.timeout());
@@ -163,7 +201,11 @@
         let is_idempotent = route.is_idempotent;
         let earlier_attempts_time =
             self.record_caller_timeout(&route, arrived, metadata.time_allowed);
-        let attempt_log = Mutex::default();
+        let (is_relayed, is_budgeted, tried) = match origin {
+            CallOrigin::Caller => (false, true, SmallVec::new()),
+            CallOrigin::Entry { tried, is_budgeted } => (true, is_budgeted, tried),
+        };
+        let attempt_log = Mutex::new(AttemptLog { tried, ..AttemptLog::default() });
         let call = ForwardedCall {
             route,
             pool,
@@ -171,14 +213,18 @@
             caller,
             arrived,
             earlier_attempts_time,
+            routing,
             view,
+            is_relayed,
             attempt_log,
             stage,
             quarantine: self.quarantine.clone(),
         };
-        self.with_service(&call.pool.service, |state| {
-            state.budget.record_request(arrived, &self.budget);
-        });
+        if is_budgeted {
+            self.with_service(&call.pool.service, |state| {
+                state.budget.record_request(arrived, &self.budget);
+            });
+        }
         if is_idempotent {
             let _reservation = reservation;
             return self.serve(&call).await;
@@ -215,14 +261,26 @@
     /// Runs the attempts for a request, then records and logs the result.
     async fn serve(&self, call: &ForwardedCall) -> GatewayAnswer {
         let result = self.run_attempts(call).await;
-        let (answer, outcome) = final_answer(call, result, self.service_time(call), &*self.dialect);
+        let is_servers_own =
+            matches!(result, Ok(AttemptResult::Answered(_) | AttemptResult::Failed(_)));
+        let (mut answer, outcome) =
+            final_answer(call, result, self.service_time(call), &*self.dialect);
         let elapsed = call.arrived.elapsed();
         self.metrics.requests.count(outcome);
         self.metrics.latency.observe(elapsed.as_secs_f64());
         let attempt_log = call.attempt_log.lock();
+        if call.is_relayed {
+            let tried = attempt_log.tried.clone();
+            let told = match answer.status {
+                _ if is_servers_own => RelayAnswer::Answered(tried),
+                StatusCode::SERVICE_UNAVAILABLE => RelayAnswer::not_run(tried, &answer),
+                _ => RelayAnswer::Unknown(tried),
+            };
+            attach_answer(&mut answer.headers, &told);
+        }
         info!(self.logger, "request"; "id" => id_text(call.request.id.as_ref()),
             "route" => &*call.route.name, "service" => %call.pool.service,
-            "idempotent" => call.route.is_idempotent,
+            "idempotent" => call.route.is_idempotent, "relayed" => call.is_relayed,
             "view" => call.view.version.0, "routing" => call.view.routing_version().0,
             "asked" => attempt_log.probe_count, "attempts" => attempt_log.summary.as_str(),
             "status" => answer.status.as_u16(), "outcome" => outcome,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -21,6 +21,8 @@
 mod node;
 mod placer;
 mod reach_monitor;
+mod relay;
+mod relay_attempt;
 mod routes;
 mod server_connection;
 mod server_probe;
--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -29,9 +29,19 @@
     Closing,
 }
 
-/// Accepts and serves callers on one socket.
+/// Who sends the requests of a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum RequestSource {
+    /// Callers.
+    Callers,
+    /// Other entries.
+    Entries,
+}
+
+/// Accepts and serves callers, or other entries, on one socket.
 pub struct GatewayListener {
     pub(crate) forwarder: Arc<RequestForwarder>,
+    pub(crate) source: RequestSource,
     pub(crate) stop: watch::Receiver<StopStage>,
     pub(crate) counters: DecisionCounters,
     pub(crate) connections: Arc<AtomicUsize>,
@@ -65,10 +75,10 @@
         let _ = stream.set_nodelay(true);
         self.counters.count("connection-accepted");
         let (forwarder, stop) = (self.forwarder.clone(), self.stop.clone());
-        let connections = self.connections.clone();
+        let (source, connections) = (self.source, self.connections.clone());
         connections.fetch_add(1, Ordering::AcqRel);
         tokio::spawn(async move {
-            CallerConnection::new(stream, forwarder, stop).run().await;
+            CallerConnection::new(stream, source, forwarder, stop).run().await;
             connections.fetch_sub(1, Ordering::AcqRel);
         });
     }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -5,10 +5,11 @@
     body::BodyMemory,
     crash_reporter::CrashReporter,
     forwarder::{ForwardMetrics, RequestForwarder},
-    listener::StopStage,
+    listener::{RequestSource, StopStage},
     local_quarantine::LocalQuarantine,
     placer::ServerPlacer,
     reach_monitor::ReachMonitor,
+    relay::RelayClient,
     routes::InstalledRoutes,
     servers::ServerTable,
 };
@@ -38,6 +39,9 @@
 pub struct GatewaySettings {
     /// The entry as it registers with the replicas.
     pub info: EntryInfo,
+    /// The port on which all entries accept requests of other entries, at the IP address of
+    /// [`EntryInfo::peer_address`]. `None` turns relays off.
+    pub relay_port: Option<u16>,
     /// The retry budget that all entries share.
     pub budget: BudgetLimits,
     /// How long requests wait for the first routes after a start.
@@ -67,9 +71,9 @@
     pub timer: TimerService,
 }
 
-/// A gateway entry could not start because binding the callers' address failed.
+/// A gateway entry could not start because binding an address failed.
 #[derive(Debug, Error)]
-#[error("failed to bind caller address {address}: {source}")]
+#[error("failed to bind address {address}: {source}")]
 pub struct GatewayError {
     address: SocketAddr,
     source: io::Error,
@@ -92,6 +96,7 @@
     gate: FreshnessGate,
     forwarder: Arc<RequestForwarder>,
     table: Arc<ServerTable>,
+    relay: Arc<RelayClient>,
 }
 
 impl ViewStore for GatewayViewStore {
@@ -105,6 +110,7 @@
 
     fn install(&self, view: Arc<ClusterView>) {
         self.table.install(&view);
+        self.relay.install(&view);
         let current = self.forwarder.routes.borrow().as_ref().map(|routes| routes.document.version);
         if let Some(document) = view.routing()
             && Some(document.version) != current
@@ -156,8 +162,11 @@
         let GatewayDependencies { dialect, leader, metrics, timeline, logger, timer } =
             dependencies;
         let address = settings.info.caller_address;
-        let socket =
-            TcpListener::bind(address).await.map_err(|source| GatewayError { address, source })?;
+        let socket = bind(address).await?;
+        let relay_socket = match settings.relay_port {
+            Some(port) => Some(bind(SocketAddr::new(settings.info.peer_address.ip(), port)).await?),
+            None => None,
+        };
         let view = Arc::new(RwLock::new(Arc::new(ClusterView::default())));
         let table = Arc::new(ServerTable::new(settings.info.name.clone(), logger.clone()));
         let placer = Arc::new(ServerPlacer {
@@ -169,6 +178,13 @@
             probes: metrics.decisions("probes", "Ends of probes of servers"),
             monitor: ReachMonitor::new(logger.clone()),
         });
+        let relay = Arc::new(RelayClient::new(
+            settings.info.name.clone(),
+            settings.info.domain.clone(),
+            settings.relay_port,
+            placer.memory.clone(),
+            metrics.decisions("relays", "Requests relayed to other entries"),
+        ));
         let reporter = CrashReporter {
             placer: placer.clone(),
             leader: leader.clone(),
@@ -184,10 +200,10 @@
         };
         let forwarder = RequestForwarder::new(
             placer,
+            relay.clone(),
             reporter.start(),
             view.clone(),
-            settings.budget,
-            settings.startup_wait,
+            &settings,
             forward_metrics,
             logger.clone(),
         );
@@ -197,6 +213,7 @@
             gate: FreshnessGate::new(Instant::now()),
             forwarder: forwarder.clone(),
             table,
+            relay,
         });
         let refresher_context = RefresherContext {
             counters: metrics.decisions("freshness", "Confirmations of the view"),
@@ -208,12 +225,23 @@
         let (stop, stopping) = watch::channel(StopStage::Serving);
         let connections = Arc::new(AtomicUsize::new(0));
         let listener = GatewayListener {
-            forwarder,
-            stop: stopping,
+            forwarder: forwarder.clone(),
+            source: RequestSource::Callers,
+            stop: stopping.clone(),
             counters: metrics.decisions("callers", "Callers' connections"),
             connections: connections.clone(),
         };
         tokio::spawn(listener.serve(socket));
+        if let Some(socket) = relay_socket {
+            let listener = GatewayListener {
+                forwarder,
+                source: RequestSource::Entries,
+                stop: stopping,
+                counters: metrics.decisions("entry_connections", "Connections of other entries"),
+                connections: connections.clone(),
+            };
+            tokio::spawn(listener.serve(socket));
+        }
         Ok(Arc::new(Self { store, stop, connections, settings, timeline, logger }))
     }
 
@@ -249,3 +277,7 @@
         true
     }
 }
+
+async fn bind(address: SocketAddr) -> Result<TcpListener, GatewayError> {
+    TcpListener::bind(address).await.map_err(|source| GatewayError { address, source })
+}
--- a/crates/gateway/src/placer.rs
+++ b/crates/gateway/src/placer.rs
@@ -4,13 +4,14 @@
     WireDialect,
     body::BodyMemory,
     reach_monitor::ReachMonitor,
+    server_connection::ConnectionOwner,
     server_probe::{PROBE_TIMEOUT, ProbedServer, ServerProbe},
     servers::{BackendServer, ServerTable},
 };
 use futures_util::{StreamExt, stream::FuturesUnordered};
 use policy::{
-    EntryPlace, HoldEnd, PlacementCandidate, PlacementNeed, cheapest_candidate, first_hold_end,
-    is_warm_up_entry, rendezvous_rank,
+    EntryPlace, HoldEnd, PlacementCandidate, PlacementNeed, ReachLevel, cheapest_candidate,
+    first_hold_end, is_warm_up_entry, rendezvous_rank,
 };
 use rand::seq::SliceRandom;
 use runtime::DecisionCounters;
@@ -118,7 +119,7 @@
                 return self.finish(search, request).await;
             };
             search.probe_count += group.len();
-            search.probes.extend(group.iter().map(|server| self.start_probe(server, request)));
+            search.probes.extend(group.iter().map(|server| self.start_probe(server, request.pool)));
             let has_good_enough = self.collect(&mut search, request, Some(GROUP_TIMEOUT)).await;
             let may_stop = has_good_enough || self.has_acceptable(&search, request);
             if may_stop && let Some(probed) = self.take_best(&mut search, request).await {
@@ -283,8 +284,12 @@
             .filter(|(rank, _)| !rank.is_backing_off && !rank.is_cold_unavailable)
             .count();
         // Servers in backoff and cold servers that this entry may not use now are probed only if
-        // there are fewer than PROBE_GROUP_SIZE others.
-        ranked.truncate(usable.clamp(PROBE_GROUP_SIZE, MAX_PROBES));
+        // there are few others: they keep requests waiting if it is the paths to them that are lost.
+        let least = match self.table.reach(&request.pool.service).level() {
+            ReachLevel::Whole => PROBE_GROUP_SIZE,
+            ReachLevel::Impaired | ReachLevel::Lost => 1,
+        };
+        ranked.truncate(usable.clamp(least, MAX_PROBES));
         let eligible = ranked.into_iter().map(|(_, server)| server);
         let mut groups: Vec<SmallVec<[Arc<BackendServer>; 4]>> = Vec::new();
         for server in eligible {
@@ -334,6 +339,22 @@
         })
     }
 
+    /// Probes some unreachable servers of a service that are not in backoff, without waiting for
+    /// them.
+    pub(crate) fn probe_unreachable(&self, pool: &PoolSpec) {
+        let (servers, now) = (self.table.servers(&pool.service), Instant::now());
+        let is_due = |server: &&Arc<BackendServer>| {
+            !server.is_reachable()
+                && !server.is_backing_off(now)
+                && server.held_until(now).is_none()
+        };
+        let mut due: SmallVec<[&Arc<BackendServer>; 16]> = servers.iter().filter(is_due).collect();
+        due.shuffle(&mut rand::rng());
+        let probes = due.into_iter().take(PROBE_GROUP_SIZE).map(|s| self.start_probe(s, pool));
+        let probes = probes.collect();
+        PlaceSearch { probes, ..PlaceSearch::default() }.release();
+    }
+
     /// Returns whether a server has crashed, to judge by a new connection. A server that wants no
     /// probes counts as running.
     pub(crate) async fn has_crashed(
@@ -348,9 +369,9 @@
     fn start_probe(
         &self,
         server: &Arc<BackendServer>,
-        request: &PlaceRequest<'_>,
+        pool: &PoolSpec,
     ) -> JoinHandle<Option<ProbedServer>> {
-        tokio::spawn(self.probe(server, &request.pool.health_path).run())
+        tokio::spawn(self.probe(server, &pool.health_path).run())
     }
 
     fn probe(&self, server: &Arc<BackendServer>, health_path: &Arc<str>) -> ServerProbe {
--- a/crates/gateway/src/server_connection.rs
+++ b/crates/gateway/src/server_connection.rs
@@ -28,6 +28,20 @@
 /// `TCP_USER_TIMEOUT`: a connection fails if sent data stays unacknowledged for longer.
 const TCP_USER_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Size above which a body is streamed instead of held, in bytes. A response whose body breaks off
+/// before that is not forwarded, so that the request may be repeated.
+pub(crate) const MAX_HELD_BODY_BYTES: usize = 64 * 1024;
+
+/// A server or another entry, to which connections are kept open.
+pub(crate) trait ConnectionOwner: Send + Sync {
+    /// Takes back a connection that is ready for another request.
+    fn put_connection(&self, connection: ServerConnection);
+    /// Records that the body of a response broke off.
+    fn record_broken_answer(&self, now: Instant);
+    /// Returns the name for logs.
+    fn name(&self) -> &str;
+}
+
 /// The reason why a request got no response.
 #[derive(Debug, Error)]
 pub(crate) enum ExchangeError {
--- a/crates/gateway/src/server_search.rs
+++ b/crates/gateway/src/server_search.rs
@@ -4,6 +4,7 @@
     call::ForwardedCall,
     forwarder::{RequestForwarder, initial_service_time},
     placer::{PlaceError, PlaceRequest},
+    relay_attempt::AttemptTarget,
     server_probe::ProbedServer,
     service_queue::QueuePosition,
 };
@@ -28,11 +29,18 @@
     /// [`Self::wait_deadline`]; those that can still meet their target latency go first. If the
     /// queue holds [`MAX_QUEUED`] requests, a request that has found no server is refused, even if
     /// it is queued itself. The error is that of the last search.
-    pub(crate) async fn find_server(
+    ///
+    /// Finds another entry instead if this one lacks paths to servers and that one does not.
+    pub(crate) async fn find_target(
         &self,
         call: &ForwardedCall,
-    ) -> Result<ProbedServer, PlaceError> {
+    ) -> Result<AttemptTarget, PlaceError> {
         let started = Instant::now();
+        if let Some(found) = self.find_entry(call, None).await {
+            // Finds out whether the paths are back.
+            self.placer.probe_unreachable(&call.pool);
+            return Ok(AttemptTarget::Entry(found));
+        }
         let queue = self.with_service(&call.pool.service, |state| state.queue.clone());
         let mut position: Option<QueuePosition> = None;
         let service_time = self.service_time(call);
@@ -63,20 +71,24 @@
                 match self.probe_servers(call, rank.is_late).await {
                     Ok(probed) => {
                         self.metrics.placing.observe(started.elapsed().as_secs_f64());
-                        return Ok(probed);
+                        return Ok(AttemptTarget::Server(probed));
                     }
-                    Err(PlaceError::Full) => obstacle = PlaceError::Full,
-                    Err(error @ PlaceError::Held(wait))
+                    Err(error) => obstacle = error,
+                }
+                if let Some(found) = self.find_entry(call, Some(obstacle)).await {
+                    return Ok(AttemptTarget::Entry(found));
+                }
+                match obstacle {
+                    PlaceError::Full => {}
+                    PlaceError::Held(wait)
                         if wait.is_none_or(|wait| now + wait >= wait_deadline) =>
                     {
-                        return Err(error);
+                        return Err(obstacle);
                     }
-                    Err(error)
-                        if started.elapsed() > call.route.target().mul_f64(MIN_WAIT_SHARE) =>
-                    {
-                        return Err(error);
+                    _ if started.elapsed() > call.route.target().mul_f64(MIN_WAIT_SHARE) => {
+                        return Err(obstacle);
                     }
-                    Err(error) => obstacle = error,
+                    _ => {}
                 }
             }
             if Instant::now() + REPROBE_DELAY >= wait_deadline || queue.len() >= MAX_QUEUED {
--- a/crates/gateway/src/servers.rs
+++ b/crates/gateway/src/servers.rs
@@ -1,7 +1,7 @@
 //! The state that an entry keeps for each backend server: idle connections, probe backoff, recent
 //! failures, and its share of a cold server's rate.
 
-use crate::server_connection::ServerConnection;
+use crate::server_connection::{ConnectionOwner, ServerConnection};
 use parking_lot::{Mutex, RwLock};
 use policy::{
     ColdAllowance, EntryPlace, HoldEnd, RequestLimit, ServerHold, ServerReach, ServerSignals,
@@ -99,19 +99,6 @@
         state.idle.pop()
     }
 
-    /// Puts a connection that is ready for another request into the pool of idle connections. A
-    /// full pool closes its least recently used connection.
-    pub(crate) fn put_connection(&self, connection: ServerConnection) {
-        let mut state = self.state.lock();
-        if state.hold.end_after(Instant::now()).is_some() {
-            return;
-        }
-        if state.idle.len() >= MAX_IDLE_CONNECTIONS {
-            state.idle.remove(0);
-        }
-        state.idle.push(connection);
-    }
-
     /// Returns whether the server is in backoff after failed probes.
     pub(crate) fn is_backing_off(&self, now: Instant) -> bool {
         self.state.lock().backoff_until.is_some_and(|until| now < until)
@@ -276,6 +263,29 @@
     }
 }
 
+impl ConnectionOwner for BackendServer {
+    /// Puts a connection into the pool of idle connections. A full pool closes its least recently
+    /// used connection.
+    fn put_connection(&self, connection: ServerConnection) {
+        let mut state = self.state.lock();
+        if state.hold.end_after(Instant::now()).is_some() {
+            return;
+        }
+        if state.idle.len() >= MAX_IDLE_CONNECTIONS {
+            state.idle.remove(0);
+        }
+        state.idle.push(connection);
+    }
+
+    fn record_broken_answer(&self, now: Instant) {
+        self.record_outcome(now, true);
+    }
+
+    fn name(&self) -> &str {
+        self.name.as_str()
+    }
+}
+
 /// The servers of one service that may receive new requests.
 pub(crate) type ServerList = Arc<[Arc<BackendServer>]>;
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -16,6 +16,7 @@
 mod probe_budget;
 mod recent_answers;
 mod registry;
+mod relay_choice;
 mod request_limit;
 mod retry_budget;
 mod retry_delay;
@@ -46,6 +47,7 @@
 pub use probe_budget::ProbeBudget;
 pub use recent_answers::RecentAnswers;
 pub use registry::{ANNOUNCEMENT_LEASE, AnnounceOutcome, ServerRegistry};
+pub use relay_choice::{RelayPause, RelayRank, RelayRecord, is_better_placed};
 pub use request_limit::{EntryPlace, RequestLimit};
 pub use retry_budget::RetryBudget;
 pub use retry_delay::{CapacityForecast, retry_delay};
--- a/crates/policy/src/shared_budget.rs
+++ b/crates/policy/src/shared_budget.rs
@@ -42,11 +42,34 @@
         self.requests.push_back(now);
     }
 
+    /// Removes the latest request, so that another entry may record it in place of this one. Returns
+    /// false and removes none if the retries taken here depend on it.
+    pub fn hand_over_request(
+        &mut self,
+        now: Instant,
+        limits: &BudgetLimits,
+        entries: usize,
+    ) -> bool {
+        self.drop_expired(now, limits);
+        let left = self.requests.len().saturating_sub(1);
+        let may_leave = left < self.requests.len()
+            && self.retries.len() as f64 <= Self::allowance(left, limits, entries);
+        if may_leave {
+            self.requests.pop_back();
+        }
+        may_leave
+    }
+
+    /// Returns the number of retries that a number of requests allows this entry within a window.
+    fn allowance(requests: usize, limits: &BudgetLimits, entries: usize) -> f64 {
+        let slack = f64::from(limits.slack) / entries.max(1) as f64;
+        USED_SHARE * (limits.ratio * requests as f64 + slack)
+    }
+
     /// Takes one retry, given the number of entries. Returns whether this entry's share allowed it.
     pub fn take(&mut self, now: Instant, limits: &BudgetLimits, entries: usize) -> bool {
         self.drop_expired(now, limits);
-        let slack = f64::from(limits.slack) / entries.max(1) as f64;
-        let allowed = USED_SHARE * (limits.ratio * self.requests.len() as f64 + slack);
+        let allowed = Self::allowance(self.requests.len(), limits, entries);
         let is_granted = (self.retries.len() + 1) as f64 <= allowed;
         if is_granted {
             self.retries.push_back(now);
