--- a/crates/gateway/src/crash_reporter.rs
+++ b/crates/gateway/src/crash_reporter.rs
@@ -3,12 +3,13 @@
 use crate::{
     local_quarantine::{LocalQuarantine, QuarantineStages},
     placer::ServerPlacer,
+    relay::{RelayClient, RelayQuestion},
     servers::BackendServer,
 };
 use follow::LeaderClient;
 use futures_util::future::join_all;
-use parking_lot::Mutex;
-use policy::RecentAnswers;
+use parking_lot::{Mutex, RwLock};
+use policy::{CrashObservation, RecentAnswers, is_crash_proved};
 use runtime::{DecisionCounters, Logger};
 use slog::{info, warn};
 use smallvec::SmallVec;
@@ -20,7 +21,7 @@
     sync::mpsc,
     time::{sleep, timeout},
 };
-use types::{CrashReport, PoolSpec, RequestFingerprint, RequestReport};
+use types::{ClusterView, CrashReport, PoolSpec, RequestFingerprint, RequestReport};
 
 /// Maximum number of findings that wait to be reported. Others are dropped and counted.
 const MAX_QUEUED: usize = 256;
@@ -57,9 +58,11 @@
     counters: DecisionCounters,
 }
 
-/// Checks which servers have crashed and reports to the replicas.
+/// Checks which servers have crashed, with the help of other entries, and reports to the replicas.
 pub(crate) struct CrashReporter {
     pub(crate) placer: Arc<ServerPlacer>,
+    pub(crate) relay: Arc<RelayClient>,
+    pub(crate) view: Arc<RwLock<Arc<ClusterView>>>,
     pub(crate) leader: Arc<LeaderClient>,
     pub(crate) local: Arc<LocalQuarantine>,
     pub(crate) counters: DecisionCounters,
@@ -150,7 +153,18 @@
         pool: PoolSpec,
         server: Arc<BackendServer>,
     ) -> Option<CrashReport> {
-        if !self.placer.has_crashed(&server, &pool.health_path).await {
+        let view = self.view.read().clone();
+        let own = self.placer.observe_crash(&view, &server, &pool.health_path).await;
+        if own == CrashObservation::Running {
+            return None;
+        }
+        let question = RelayQuestion::Crash(server.name.clone(), server.incarnation);
+        let others = self.relay.ask_witnesses(&question).await;
+        if !is_crash_proved(own, &others) {
+            self.counters.count("crash-not-proved");
+            info!(self.logger, "no proof that a server crashed under a request";
+                "server" => %server.name, "incarnation" => server.incarnation.0,
+                "fingerprint" => %request, "own" => ?own, "others" => ?others);
             return None;
         }
         info!(self.logger, "server crashed under a request"; "server" => %server.name,
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -187,6 +187,8 @@
         ));
         let reporter = CrashReporter {
             placer: placer.clone(),
+            relay: relay.clone(),
+            view: view.clone(),
             leader: leader.clone(),
             local: Arc::new(LocalQuarantine::new(Instant::now())),
             counters: metrics.decisions("crash_reports", "Reports of requests that crash servers"),
--- a/crates/gateway/src/placer.rs
+++ b/crates/gateway/src/placer.rs
@@ -10,8 +10,8 @@
 };
 use futures_util::{StreamExt, stream::FuturesUnordered};
 use policy::{
-    EntryPlace, HoldEnd, PlacementCandidate, PlacementNeed, ReachLevel, cheapest_candidate,
-    first_hold_end, is_warm_up_entry, rendezvous_rank,
+    CrashObservation, EntryPlace, HoldEnd, PlacementCandidate, PlacementNeed, ReachLevel,
+    cheapest_candidate, first_hold_end, is_warm_up_entry, rendezvous_rank,
 };
 use rand::seq::SliceRandom;
 use runtime::DecisionCounters;
@@ -24,7 +24,7 @@
     task::JoinHandle,
     time::{timeout, timeout_at},
 };
-use types::{ClusterView, DomainName, EntryName, PoolSpec, ServerName};
+use types::{ClusterView, DomainName, EntryName, PoolSpec, ServerIncarnation, ServerName};
 
 /// Number of servers that are probed concurrently.
 const PROBE_GROUP_SIZE: usize = 3;
@@ -41,6 +41,8 @@
 /// its failure domain. Among this many, an entry finds one with free capacity, and it can keep
 /// connections open to all of them.
 const PREFERRED_SERVERS: usize = 12;
+/// Number of other servers that are probed to find out whether this entry's own paths are lost.
+const PATH_SAMPLE_SIZE: usize = 4;
 /// Failure share above which a server is probed after others.
 const MAX_FAILURE_SHARE: f64 = 0.3;
 
@@ -355,15 +357,43 @@
         PlaceSearch { probes, ..PlaceSearch::default() }.release();
     }
 
-    /// Returns whether a server has crashed, to judge by a new connection. A server that wants no
-    /// probes counts as running.
-    pub(crate) async fn has_crashed(
+    /// Returns an incarnation of a server that may receive new requests, with the path of its health
+    /// check.
+    pub(crate) fn find_listed(
         &self,
+        view: &ClusterView,
+        name: &ServerName,
+        incarnation: ServerIncarnation,
+    ) -> Option<(Arc<BackendServer>, Arc<str>)> {
+        let (service, server) = self.table.find(name, incarnation)?;
+        Some((server, view.routing()?.pool(&service)?.health_path.clone()))
+    }
+
+    /// Observes whether a server has crashed, to judge by a new connection, and whether this entry
+    /// reaches other servers at the same time. A server that wants no probes counts as running.
+    pub(crate) async fn observe_crash(
+        &self,
+        view: &ClusterView,
         server: &Arc<BackendServer>,
         health_path: &Arc<str>,
-    ) -> bool {
-        server.held_until(Instant::now()).is_none()
-            && self.probe(server, health_path).has_crashed().await
+    ) -> CrashObservation {
+        if server.held_until(Instant::now()).is_some() {
+            return CrashObservation::Running;
+        }
+        let sample: Vec<_> = self
+            .table
+            .sample(PATH_SAMPLE_SIZE, &server.name)
+            .into_iter()
+            .filter(|(_, server)| server.held_until(Instant::now()).is_none())
+            .filter_map(|(service, server)| Some((server, view.routing()?.pool(&service)?)))
+            .collect();
+        let sampled = sample.len();
+        let sample = sample.iter().map(|(server, pool)| self.start_probe(server, pool));
+        let probes: PlaceSearch =
+            PlaceSearch { probes: sample.collect(), ..PlaceSearch::default() };
+        let probe = self.probe(server, health_path);
+        let (seems_crashed, reached) = tokio::join!(probe.has_crashed(), probes.count_answers());
+        CrashObservation::new(seems_crashed, reached, sampled)
     }
 
     fn start_probe(
@@ -396,6 +426,18 @@
 }
 
 impl PlaceSearch {
+    /// Waits for all probes, and returns how many were answered.
+    async fn count_answers(mut self) -> usize {
+        let mut answered = 0;
+        while let Some(result) = self.probes.next().await {
+            if let Ok(Some(probed)) = result {
+                answered += 1;
+                release(probed);
+            }
+        }
+        answered
+    }
+
     /// Puts all connections back into the idle pools; those of probes in flight are put back when
     /// the probes end.
     fn release(mut self) {
--- a/crates/gateway/src/relay/client.rs
+++ b/crates/gateway/src/relay/client.rs
@@ -8,11 +8,12 @@
     body::BodyMemory,
     server_connection::{ConnectionOwner, ServerConnection},
 };
-use futures_util::{StreamExt, stream::FuturesUnordered};
+use futures_util::{StreamExt, future::join_all, stream::FuturesUnordered};
 use parking_lot::{Mutex, RwLock};
-use policy::{ReachLevel, RelayPause, ServerReach, is_better_placed};
+use policy::{CrashObservation, ReachLevel, RelayPause, ServerReach, is_better_placed};
 use rand::seq::SliceRandom;
 use runtime::DecisionCounters;
+use smallvec::SmallVec;
 use std::{
     collections::HashMap,
     net::SocketAddr,
@@ -27,6 +28,10 @@
 const MAX_ASKED: usize = 9;
 /// Timeout of a question about reach, including connection setup.
 const REACH_TIMEOUT: Duration = Duration::from_millis(40);
+/// Maximum number of entries that are asked whether a server has crashed.
+const MAX_WITNESSES: usize = 6;
+/// Timeout of a question about a crash. The other entry waits for silent servers meanwhile.
+const CRASH_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// An entry that can take a request, with the connection on which it has just said so.
 pub(crate) struct FoundEntry {
@@ -157,4 +162,24 @@
         links.truncate(MAX_ASKED);
         links
     }
+
+    /// Asks some other entries about a server that seems to have crashed. Returns the observations
+    /// of those that answer.
+    pub(crate) async fn ask_witnesses(
+        &self,
+        question: &RelayQuestion,
+    ) -> SmallVec<[CrashObservation; MAX_WITNESSES]> {
+        let mut links: Vec<Arc<EntryLink>> = self.links.read().to_vec();
+        links.shuffle(&mut rand::rng());
+        links.truncate(MAX_WITNESSES);
+        let asked = links.iter().map(async |link| {
+            let (answer, connection) = link.ask(question, CRASH_TIMEOUT, &self.memory).await?;
+            link.put_connection(connection);
+            match answer {
+                RelayAnswer::Crash(verdict) => Some(CrashObservation::from(verdict)),
+                _ => None,
+            }
+        });
+        join_all(asked).await.into_iter().flatten().collect()
+    }
 }
--- a/crates/gateway/src/relay/message.rs
+++ b/crates/gateway/src/relay/message.rs
@@ -2,10 +2,10 @@
 
 use crate::GatewayAnswer;
 use http::{HeaderMap, HeaderName, HeaderValue};
-use policy::ServerReach;
+use policy::{CrashObservation, ServerReach};
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
-use types::{RoutingVersion, ServerName, ServiceName};
+use types::{RoutingVersion, ServerIncarnation, ServerName, ServiceName};
 
 /// Header field between entries. Callers and servers never see it.
 pub(crate) const RELAY_FIELD: HeaderName = HeaderName::from_static("hawthornhill-relay");
@@ -15,6 +15,8 @@
 pub(crate) enum RelayQuestion {
     /// How many servers of a service does the entry reach? The request has no other content.
     Reach(ServiceName),
+    /// Has a server crashed? The request has no other content.
+    Crash(ServerName, ServerIncarnation),
     /// The request comes from a caller of the sender and is to be forwarded to a server.
     Forward(ForwardTerms),
 }
@@ -47,6 +49,8 @@
         /// The version of the routing document.
         routing: RoutingVersion,
     },
+    /// What the entry observed about a server.
+    Crash(CrashVerdict),
     /// The response is that of a server.
     Answered(TriedServers),
     /// No server has run the request, and none will.
@@ -64,6 +68,37 @@
 /// response, if a server did.
 pub(crate) type TriedServers = SmallVec<[ServerName; 2]>;
 
+/// A [`CrashObservation`] as entries send it.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+pub(crate) enum CrashVerdict {
+    /// The server is running.
+    Running,
+    /// The server has crashed.
+    Crashed,
+    /// The entry has no path to most servers.
+    NoPath,
+}
+
+impl From<CrashObservation> for CrashVerdict {
+    fn from(observation: CrashObservation) -> Self {
+        match observation {
+            CrashObservation::Running => Self::Running,
+            CrashObservation::Crashed => Self::Crashed,
+            CrashObservation::NoPath => Self::NoPath,
+        }
+    }
+}
+
+impl From<CrashVerdict> for CrashObservation {
+    fn from(verdict: CrashVerdict) -> Self {
+        match verdict {
+            CrashVerdict::Running => Self::Running,
+            CrashVerdict::Crashed => Self::Crashed,
+            CrashVerdict::NoPath => Self::NoPath,
+        }
+    }
+}
+
 impl RelayAnswer {
     /// Returns the answer to a request that is refused with this response.
     pub(crate) fn not_run(tried: TriedServers, refusal: &GatewayAnswer) -> Self {
--- a/crates/gateway/src/relay/responder.rs
+++ b/crates/gateway/src/relay/responder.rs
@@ -10,13 +10,13 @@
     forwarder::{CallOrigin, RequestForwarder, RoutedRequest},
 };
 use http::StatusCode;
-use policy::{CapacityForecast, ReachLevel, retry_delay};
+use policy::{CapacityForecast, CrashObservation, ReachLevel, retry_delay};
 use slog::info;
 use std::{
     sync::Arc,
     time::{Duration, Instant},
 };
-use types::ServiceName;
+use types::{ServerIncarnation, ServerName, ServiceName};
 
 /// Base of the retry time of a caller whose request two entries could not place.
 const NO_PATH_RETRY_BASE: Duration = Duration::from_millis(200);
@@ -29,6 +29,9 @@
     ) -> GatewayAnswer {
         match relay_question(&request.headers) {
             Some(RelayQuestion::Reach(service)) => self.answer_reach(&service),
+            Some(RelayQuestion::Crash(server, incarnation)) => {
+                self.answer_crash(&server, incarnation).await
+            }
             Some(RelayQuestion::Forward(terms)) => {
                 request.headers.remove(RELAY_FIELD);
                 self.forward_for_entry(request, terms).await
@@ -43,6 +46,20 @@
         told(StatusCode::OK, &RelayAnswer::reach(reach, routing.unwrap_or_default()))
     }
 
+    async fn answer_crash(
+        &self,
+        server: &ServerName,
+        incarnation: ServerIncarnation,
+    ) -> GatewayAnswer {
+        let view = self.view.read().clone();
+        let observation = match self.placer.find_listed(&view, server, incarnation) {
+            Some((server, path)) => self.placer.observe_crash(&view, &server, &path).await,
+            // The view of this entry no longer lists it, so there is nothing to observe.
+            None => CrashObservation::NoPath,
+        };
+        told(StatusCode::OK, &RelayAnswer::Crash(observation.into()))
+    }
+
     /// Forwards a request of another entry's caller. Refuses it at once if this entry has no path to
     /// a server either, or applies another routing document.
     async fn forward_for_entry(
--- a/crates/gateway/src/servers.rs
+++ b/crates/gateway/src/servers.rs
@@ -7,6 +7,7 @@
     ColdAllowance, EntryPlace, HoldEnd, RequestLimit, ServerHold, ServerReach, ServerSignals,
     SignalSource, rendezvous_weight,
 };
+use rand::seq::IteratorRandom;
 use runtime::Logger;
 use slog::info;
 use smallvec::SmallVec;
@@ -319,6 +320,32 @@
         ServerReach { reachable, listed: servers.len() }
     }
 
+    /// Returns a server that may receive new requests, with its service.
+    pub(crate) fn find(
+        &self,
+        name: &ServerName,
+        incarnation: ServerIncarnation,
+    ) -> Option<(ServiceName, Arc<BackendServer>)> {
+        let services = self.services.read();
+        services.iter().find_map(|(service, list)| {
+            let server = list.iter().find(|s| s.name == *name && s.incarnation == incarnation)?;
+            Some((service.clone(), server.clone()))
+        })
+    }
+
+    /// Returns up to `count` random servers other than `except`, of any service.
+    pub(crate) fn sample(
+        &self,
+        count: usize,
+        except: &ServerName,
+    ) -> Vec<(ServiceName, Arc<BackendServer>)> {
+        let services = self.services.read();
+        let listed = services.iter().flat_map(|(service, list)| {
+            list.iter().map(move |server| (service.clone(), server.clone()))
+        });
+        listed.filter(|(_, server)| server.name != *except).choose_multiple(&mut rand::rng(), count)
+    }
+
     /// Returns whether a server may still receive new requests.
     pub(crate) fn is_listed(&self, service: &ServiceName, server: &BackendServer) -> bool {
         let services = self.services.read();
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -6,6 +6,7 @@
 mod caller_timeouts;
 mod cold_share;
 mod cold_start;
+mod crash_evidence;
 mod directory;
 mod entry_ranking;
 mod first_routes;
@@ -35,6 +36,7 @@
     ColdAllowance, WARM_UP_ENTRIES, is_warm_up_entry, rendezvous_rank, rendezvous_weight,
 };
 pub use cold_start::WarmUpRamp;
+pub use crash_evidence::{CrashObservation, is_crash_proved};
 pub use directory::{DirectoryServer, HEARTBEAT_TIMEOUT, ServerDirectory};
 pub use entry_ranking::rank_entries;
 pub use first_routes::StartupWait;
