--- a/crates/gateway/src/relay/link.rs
+++ b/crates/gateway/src/relay/link.rs
@@ -59,7 +59,8 @@
     }
 
     /// Asks the entry a question. Returns its answer with the connection that it arrived on, which
-    /// may be used again. Asks on a new connection if an idle one fails.
+    /// may be used again. Asks on a new connection if an idle one fails or is silent for half of
+    /// `limit`.
     pub(crate) async fn ask(
         &self,
         question: &RelayQuestion,
@@ -68,10 +69,14 @@
     ) -> Option<(RelayAnswer, ServerConnection)> {
         let question = encode(question)?;
         let asked = async {
-            if let Some(connection) = self.take_connection(Instant::now())
-                && let Some(answered) = self.ask_on(connection, question.clone(), memory).await
-            {
-                return Some(answered);
+            if let Some(connection) = self.take_connection(Instant::now()) {
+                let asked_on = self.ask_on(connection, question.clone(), memory);
+                match timeout(limit / 2, asked_on).await {
+                    Ok(Some(answered)) => return Some(answered),
+                    Ok(None) => {}
+                    // The other idle connections are probably silent too.
+                    Err(_) => self.state.lock().idle.clear(),
+                }
             }
             let connection = ServerConnection::open(self.address).await.ok()?;
             self.ask_on(connection, question, memory).await
--- a/crates/gateway/tests/lost_paths.rs
+++ b/crates/gateway/tests/lost_paths.rs
@@ -32,7 +32,7 @@
 /// Time that a server works on a request, in milliseconds.
 const WORK_MS: u64 = 120;
 
-async fn start() -> (Vec<Arc<ScriptedServer>>, Vec<Arc<TestGateway>>) {
+async fn start_servers() -> Vec<Arc<ScriptedServer>> {
     let mut servers = Vec::new();
     for number in 0..SERVERS {
         let (name, domain) = (format!("s{number}"), ["a", "b"][number % 2]);
@@ -40,6 +40,11 @@
         server.is_bounded.store(true, Ordering::SeqCst);
         servers.push(server);
     }
+    servers
+}
+
+async fn start() -> (Vec<Arc<ScriptedServer>>, Vec<Arc<TestGateway>>) {
+    let servers = start_servers().await;
     let listed: Vec<&Arc<ScriptedServer>> = servers.iter().collect();
     let fleet = TestGateway::start_linked_fleet(ENTRIES, routing(1, 2), &listed).await;
     (servers, fleet.into_iter().map(Arc::new).collect())
@@ -146,3 +151,17 @@
     let quarantine = fleet[0].replicas.state.lock().view().quarantine().clone();
     assert!(quarantine.is_empty(), "{quarantine:?}");
 }
+
+/// Guards against requests that are refused because the open connections to all servers fell silent
+/// for good, though new ones work.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn silent_connections_are_replaced_by_new_ones() {
+    let servers = start_servers().await;
+    let listed: Vec<&Arc<ScriptedServer>> = servers.iter().collect();
+    let gateway = TestGateway::start_linked_fleet(1, routing(1, 2), &listed).await.remove(0);
+    let gateway = Arc::new(gateway);
+    send_load(&gateway, "before", Duration::from_secs(1)).await;
+    gateway.replicas.links.lock().values().for_each(|link| link.silence_open());
+    let (sent, served) = send_load(&gateway, "silent", Duration::from_secs(1)).await;
+    assert_eq!(served, sent, "{} requests failed", sent - served);
+}
