--- a/crates/gateway/src/forwarder.rs
+++ b/crates/gateway/src/forwarder.rs
@@ -35,6 +35,11 @@
 /// Base of the retry time that callers get while the entry has no routes: the typical time from the
 /// start of an entry until it has routes.
 const NO_ROUTES_RETRY_BASE: Duration = Duration::from_millis(250);
+/// Maximum age of the view by which a request is answered with 404. Views are confirmed four times a
+/// second.
+const MAX_DENIAL_VIEW_AGE: Duration = Duration::from_millis(600);
+/// Maximum time that a request without a route waits for the confirmation of the view.
+const MAX_CONFIRMATION_WAIT: Duration = Duration::from_millis(400);
 /// Maximum number of routes for which callers' timeouts are tracked. Above it, the timeouts of all
 /// routes are discarded.
 const MAX_TIMEOUT_ROUTES: usize = 4_096;
@@ -89,6 +94,8 @@
     pub(crate) memory: Arc<BodyMemory>,
     pub(crate) view: Arc<RwLock<Arc<ClusterView>>>,
     pub(crate) routes: watch::Sender<Option<Arc<InstalledRoutes>>>,
+    /// When the last request for a view was sent that confirmed the view.
+    pub(crate) confirmed: watch::Sender<Option<Instant>>,
     pub(crate) startup_wait: StartupWait,
     pub(crate) started: Instant,
     pub(crate) budget: BudgetLimits,
@@ -118,6 +125,7 @@
             memory,
             view,
             routes: watch::Sender::new(None),
+            confirmed: watch::Sender::new(None),
             startup_wait: settings.startup_wait,
             started: Instant::now(),
             budget: settings.budget,
@@ -167,6 +175,18 @@
             let answer = GatewayAnswer::refused("no routes are known yet", no_routes_retry_after());
             return self.finish_unrouted(&metadata, "no-routes", answer);
         };
+        let routes = match routes.find(&request) {
+            Some(_) => routes,
+            // The route may have been added since the view was confirmed.
+            None => match self.confirmed_routes(request.arrived).await {
+                Some(confirmed) => confirmed,
+                None => {
+                    let reason = "no route is known, but the routes may have changed";
+                    let answer = GatewayAnswer::refused(reason, no_routes_retry_after());
+                    return self.finish_unrouted(&metadata, "routes-unconfirmed", answer);
+                }
+            },
+        };
         let Some(route) = routes.find(&request).cloned() else {
             let answer = GatewayAnswer::own(StatusCode::NOT_FOUND, "no route for host and path");
             return self.finish_unrouted(&metadata, "no-route", answer);
@@ -258,6 +278,18 @@
         installed.ok()?.ok()?.clone()
     }
 
+    /// Returns the routes of a view that was current at most [`MAX_DENIAL_VIEW_AGE`] before `arrived`.
+    /// Waits up to [`MAX_CONFIRMATION_WAIT`] for its confirmation, and returns `None` if there is
+    /// none.
+    async fn confirmed_routes(&self, arrived: Instant) -> Option<Arc<InstalledRoutes>> {
+        let mut confirmed = self.confirmed.subscribe();
+        let is_recent =
+            |sent: &Option<Instant>| sent.is_some_and(|sent| sent + MAX_DENIAL_VIEW_AGE >= arrived);
+        let deadline = arrived + MAX_CONFIRMATION_WAIT;
+        timeout_at(deadline.into(), confirmed.wait_for(is_recent)).await.ok()?.ok()?;
+        self.routes.borrow().clone()
+    }
+
     /// Runs the attempts for a request, then records and logs the result.
     async fn serve(&self, call: &ForwardedCall) -> GatewayAnswer {
         let result = self.run_attempts(call).await;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -125,6 +125,7 @@
 
     fn confirm(&self, sent: Instant) {
         self.gate.confirm(sent);
+        self.forwarder.confirmed.send_modify(|confirmed| *confirmed = (*confirmed).max(Some(sent)));
     }
 
     fn is_open(&self) -> bool {
--- a/crates/gateway/tests/forwarding.rs
+++ b/crates/gateway/tests/forwarding.rs
@@ -15,7 +15,7 @@
     net::TcpStream,
     time::sleep,
 };
-use types::{Command, ServerState};
+use types::{Command, RouteSpec, ServerState};
 
 async fn start_with_faulty_server(
     script: Script,
@@ -284,3 +284,29 @@
     let wait: f64 = answer.headers["retry-after"].to_str().expect("text").parse().expect("s");
     assert!(wait > 0.0 && wait <= 0.1, "{wait}");
 }
+
+/// Guards against an entry that answers 404 on a route that was added since its view was last
+/// confirmed, when the acknowledgement of the change is already old.
+#[tokio::test]
+async fn route_that_an_unconfirmed_view_lacks_is_not_denied() {
+    let server = ScriptedServer::start("s1", "a", Script::Answer(200, 0)).await;
+    let gateway = TestGateway::start(routing(1, 2), &[&server]).await;
+    assert_eq!(gateway.send("GET", "/late/x", "r1").await.status, StatusCode::NOT_FOUND);
+    gateway.replicas.is_silent.send_replace(true);
+    let mut document = routing(2, 2);
+    let added =
+        RouteSpec { prefix: "/late/".into(), name: "late".into(), ..(*document.routes[0]).clone() };
+    document.routes.push(Arc::new(added));
+    gateway.publish(document, &[]);
+    sleep(Duration::from_millis(1_200)).await;
+    let refused = gateway.send("GET", "/late/x", "r2").await;
+    assert_eq!(refused.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert!(refused.headers.contains_key("retry-after"));
+    assert_eq!(gateway.send("GET", "/read/x", "r3").await.status, StatusCode::OK);
+    let confirm = async {
+        sleep(Duration::from_millis(100)).await;
+        gateway.replicas.is_silent.send_replace(false);
+    };
+    let (answer, ()) = tokio::join!(gateway.send("GET", "/late/x", "r4"), confirm);
+    assert_eq!(answer.status, StatusCode::OK);
+}
