--- a/crates/gateway/src/crash_reporter.rs
+++ b/crates/gateway/src/crash_reporter.rs
@@ -9,7 +9,7 @@
 use follow::LeaderClient;
 use futures_util::future::join_all;
 use parking_lot::{Mutex, RwLock};
-use policy::{CrashObservation, RecentAnswers, is_crash_proved};
+use policy::{RecentAnswers, is_crash_proved};
 use runtime::{DecisionCounters, Logger};
 use slog::{info, warn};
 use smallvec::SmallVec;
@@ -153,13 +153,15 @@
         pool: PoolSpec,
         server: Arc<BackendServer>,
     ) -> Option<CrashReport> {
-        let view = self.view.read().clone();
-        let own = self.placer.observe_crash(&view, &server, &pool.health_path).await;
-        if own == CrashObservation::Running {
+        if !self.placer.seems_crashed(&server, &pool.health_path).await {
             return None;
         }
+        let view = self.view.read().clone();
         let question = RelayQuestion::Crash(server.name.clone(), server.incarnation);
-        let others = self.relay.ask_witnesses(&question).await;
+        let (own, others) = tokio::join!(
+            self.placer.observe_paths(&view, &server),
+            self.relay.ask_witnesses(&question)
+        );
         if !is_crash_proved(own, &others) {
             self.counters.count("crash-not-proved");
             info!(self.logger, "no proof that a server crashed under a request";
--- a/crates/gateway/src/placer.rs
+++ b/crates/gateway/src/placer.rs
@@ -11,7 +11,7 @@
 use futures_util::{StreamExt, stream::FuturesUnordered};
 use policy::{
     CrashObservation, EntryPlace, HoldEnd, PlacementCandidate, PlacementNeed, ReachLevel,
-    cheapest_candidate, first_hold_end, is_warm_up_entry, rendezvous_rank,
+    cheapest_candidate, first_hold_end, is_warm_up_entry, proves_paths, rendezvous_rank,
 };
 use rand::seq::SliceRandom;
 use runtime::DecisionCounters;
@@ -369,17 +369,24 @@
         Some((server, view.routing()?.pool(&service)?.health_path.clone()))
     }
 
-    /// Observes whether a server has crashed, to judge by a new connection, and whether this entry
-    /// reaches other servers at the same time. A server that wants no probes counts as running.
-    pub(crate) async fn observe_crash(
+    /// Returns whether a server seems to have crashed, to judge by a new connection. A server that
+    /// wants no probes counts as running.
+    pub(crate) async fn seems_crashed(
         &self,
-        view: &ClusterView,
         server: &Arc<BackendServer>,
         health_path: &Arc<str>,
+    ) -> bool {
+        server.held_until(Instant::now()).is_none()
+            && self.probe(server, health_path).has_crashed().await
+    }
+
+    /// Returns what this entry observed about a server that seems to have crashed: that counts only
+    /// if the entry reaches other servers at the same time.
+    pub(crate) async fn observe_paths(
+        &self,
+        view: &ClusterView,
+        server: &Arc<BackendServer>,
     ) -> CrashObservation {
-        if server.held_until(Instant::now()).is_some() {
-            return CrashObservation::Running;
-        }
         let sample: Vec<_> = self
             .table
             .sample(PATH_SAMPLE_SIZE, &server.name)
@@ -388,12 +395,10 @@
             .filter_map(|(service, server)| Some((server, view.routing()?.pool(&service)?)))
             .collect();
         let sampled = sample.len();
-        let sample = sample.iter().map(|(server, pool)| self.start_probe(server, pool));
-        let probes: PlaceSearch =
-            PlaceSearch { probes: sample.collect(), ..PlaceSearch::default() };
-        let probe = self.probe(server, health_path);
-        let (seems_crashed, reached) = tokio::join!(probe.has_crashed(), probes.count_answers());
-        CrashObservation::new(seems_crashed, reached, sampled)
+        let probes = sample.iter().map(|(server, pool)| self.start_probe(server, pool)).collect();
+        let search = PlaceSearch { probes, ..PlaceSearch::default() };
+        let reached = search.count_answers(|reached| proves_paths(reached, sampled)).await;
+        CrashObservation::of_crashed(reached, sampled)
     }
 
     fn start_probe(
@@ -426,15 +431,18 @@
 }
 
 impl PlaceSearch {
-    /// Waits for all probes, and returns how many were answered.
-    async fn count_answers(mut self) -> usize {
+    /// Returns how many probes were answered. Waits until all have ended, or enough are answered.
+    async fn count_answers(mut self, is_enough: impl Fn(usize) -> bool) -> usize {
         let mut answered = 0;
-        while let Some(result) = self.probes.next().await {
+        while !is_enough(answered)
+            && let Some(result) = self.probes.next().await
+        {
             if let Ok(Some(probed)) = result {
                 answered += 1;
                 release(probed);
             }
         }
+        self.release();
         answered
     }
 
--- a/crates/gateway/src/relay/responder.rs
+++ b/crates/gateway/src/relay/responder.rs
@@ -53,7 +53,10 @@
     ) -> GatewayAnswer {
         let view = self.view.read().clone();
         let observation = match self.placer.find_listed(&view, server, incarnation) {
-            Some((server, path)) => self.placer.observe_crash(&view, &server, &path).await,
+            Some((server, path)) if self.placer.seems_crashed(&server, &path).await => {
+                self.placer.observe_paths(&view, &server).await
+            }
+            Some(_) => CrashObservation::Running,
             // The view of this entry no longer lists it, so there is nothing to observe.
             None => CrashObservation::NoPath,
         };
--- a/crates/policy/src/crash_evidence.rs
+++ b/crates/policy/src/crash_evidence.rs
@@ -16,16 +16,18 @@
 }
 
 impl CrashObservation {
-    /// Returns the observation of an entry that reached `reached` of `sampled` other servers.
-    pub fn new(seems_crashed: bool, reached: usize, sampled: usize) -> Self {
-        match (seems_crashed, reached > 0 && reached * 2 >= sampled) {
-            (false, _) => Self::Running,
-            (true, true) => Self::Crashed,
-            (true, false) => Self::NoPath,
-        }
+    /// Returns the observation of an entry that cannot reach the server, but `reached` of `sampled`
+    /// others.
+    pub fn of_crashed(reached: usize, sampled: usize) -> Self {
+        if proves_paths(reached, sampled) { Self::Crashed } else { Self::NoPath }
     }
 }
 
+/// Returns whether an entry that reached `reached` of `sampled` servers has not lost its paths.
+pub fn proves_paths(reached: usize, sampled: usize) -> bool {
+    reached > 0 && reached * 2 >= sampled
+}
+
 /// Returns whether the observations prove that a server has crashed. `others` holds those of the
 /// entries that answered.
 ///
