--- a/crates/gateway/src/attempt_loop.rs
+++ b/crates/gateway/src/attempt_loop.rs
@@ -35,7 +35,8 @@
             if self.is_blocked(call) {
                 return last.ok_or(PlaceError::Quarantined);
             }
-            let is_refused_elsewhere = matches!(last, Some(AttemptResult::Refused(_)));
+            let is_refused_elsewhere = matches!(last, Some(AttemptResult::Refused(_)))
+                && call.attempt_log.lock().tried.is_empty();
             if last.is_some() && !is_refused_elsewhere && !self.take_retry(call, last.as_ref()) {
                 break;
             }
--- a/crates/gateway/src/relay/client.rs
+++ b/crates/gateway/src/relay/client.rs
@@ -11,7 +11,7 @@
 use futures_util::{StreamExt, future::join_all, stream::FuturesUnordered};
 use parking_lot::{Mutex, RwLock};
 use policy::{CrashObservation, ReachLevel, RelayPause, ServerReach, is_better_placed};
-use rand::seq::SliceRandom;
+use rand::seq::IndexedRandom;
 use runtime::DecisionCounters;
 use smallvec::SmallVec;
 use std::{
@@ -24,6 +24,8 @@
 
 /// Number of entries that are asked concurrently.
 const GROUP_SIZE: usize = 3;
+/// Maximum number of entries among which those to ask are chosen.
+const MAX_RANKED: usize = 48;
 /// Maximum number of entries that are asked for one request.
 const MAX_ASKED: usize = 9;
 /// Timeout of a question about reach, including connection setup.
@@ -70,14 +72,16 @@
         let Some(port) = self.port else {
             return;
         };
-        let known = self.links.read().clone();
+        let links = self.links.read().clone();
+        let known: HashMap<&EntryName, &Arc<EntryLink>> =
+            links.iter().map(|link| (&link.name, link)).collect();
         let others = view.entries().filter(|info| info.serving && info.name != self.entry);
         let links = others.map(|info| {
             let address = SocketAddr::new(info.peer_address.ip(), port);
-            let kept = known.iter().find(|l| l.name == info.name && l.address == address).cloned();
-            kept.unwrap_or_else(|| {
-                Arc::new(EntryLink::new(info.name.clone(), info.domain.clone(), address))
-            })
+            match known.get(&info.name) {
+                Some(link) if link.address == address => Arc::clone(link),
+                _ => Arc::new(EntryLink::new(info.name.clone(), info.domain.clone(), address)),
+            }
         });
         *self.links.write() = links.collect();
     }
@@ -154,24 +158,28 @@
         best
     }
 
-    /// Returns the entries to ask about a service, in the order of their ranks.
+    /// Returns the entries to ask about a service, in the order of their ranks. Of many entries, only
+    /// a random sample is ranked.
     fn ranked_links(&self, service: &ServiceName, now: Instant) -> Vec<Arc<EntryLink>> {
-        let mut links: Vec<Arc<EntryLink>> = self.links.read().to_vec();
-        links.shuffle(&mut rand::rng());
+        let mut links = self.sample(MAX_RANKED);
         links.sort_by_cached_key(|link| link.rank(now, service, link.domain != self.domain));
         links.truncate(MAX_ASKED);
         links
     }
 
+    /// Returns up to `count` random links.
+    fn sample(&self, count: usize) -> Vec<Arc<EntryLink>> {
+        let links = self.links.read().clone();
+        links.choose_multiple(&mut rand::rng(), count).cloned().collect()
+    }
+
     /// Asks some other entries about a server that seems to have crashed. Returns the observations
     /// of those that answer.
     pub(crate) async fn ask_witnesses(
         &self,
         question: &RelayQuestion,
     ) -> SmallVec<[CrashObservation; MAX_WITNESSES]> {
-        let mut links: Vec<Arc<EntryLink>> = self.links.read().to_vec();
-        links.shuffle(&mut rand::rng());
-        links.truncate(MAX_WITNESSES);
+        let links = self.sample(MAX_WITNESSES);
         let asked = links.iter().map(async |link| {
             let (answer, connection) = link.ask(question, CRASH_TIMEOUT, &self.memory).await?;
             link.put_connection(connection);
