--- a/crates/gateway/src/crash_reporter.rs
+++ b/crates/gateway/src/crash_reporter.rs
@@ -28,7 +28,7 @@
 /// Maximum number of findings in one report.
 const MAX_REPORTED: usize = 32;
 /// Time in which findings are collected for one report.
-const COLLECT_TIME: Duration = Duration::from_millis(50);
+const COLLECT_TIME: Duration = Duration::from_millis(10);
 /// Period in which the time of requests in the local quarantine is checked.
 const EXPIRY_PERIOD: Duration = Duration::from_secs(30);
 /// Time allowed for one report.
