--- a/crates/gateway/src/forwarder.rs
+++ b/crates/gateway/src/forwarder.rs
@@ -303,12 +303,12 @@
         let attempt_log = call.attempt_log.lock();
         if call.is_relayed {
             let tried = attempt_log.tried.clone();
-            let told = match answer.status {
+            let relay_answer = match answer.status {
                 _ if is_servers_own => RelayAnswer::Answered(tried),
                 StatusCode::SERVICE_UNAVAILABLE => RelayAnswer::not_run(tried, &answer),
                 _ => RelayAnswer::Unknown(tried),
             };
-            attach_answer(&mut answer.headers, &told);
+            attach_answer(&mut answer.headers, &relay_answer);
         }
         info!(self.logger, "request"; "id" => id_text(call.request.id.as_ref()),
             "route" => &*call.route.name, "service" => %call.pool.service,
--- a/crates/gateway/src/relay/link.rs
+++ b/crates/gateway/src/relay/link.rs
@@ -1,5 +1,6 @@
 //! The connections to one other entry, and what it was good for.
 
+use super::message::{RELAY_FIELD, RelayAnswer, RelayQuestion, encode, relay_answer};
 use crate::{
     body::BodyMemory,
     server_connection::{ConnectionOwner, ServerAnswer, ServerConnection},
@@ -19,8 +20,6 @@
 use tokio::time::timeout;
 use types::{DomainName, EntryName, ServiceName};
 
-use super::message::{RELAY_FIELD, RelayAnswer, RelayQuestion, encode, relay_answer};
-
 /// Maximum number of idle connections to one entry.
 const MAX_IDLE_CONNECTIONS: usize = 4;
 /// Maximum size of the body of an answer to a question, in bytes.
@@ -98,8 +97,8 @@
         let answer: ServerAnswer =
             connection.exchange(request, MAX_ANSWER_BODY_BYTES, memory).await.ok()?;
         let is_usable = answer.is_keep_alive && answer.body.rest.is_none();
-        let told = relay_answer(&answer.headers)?;
-        is_usable.then_some((told, connection))
+        let reported = relay_answer(&answer.headers)?;
+        is_usable.then_some((reported, connection))
     }
 
     fn take_connection(&self, now: Instant) -> Option<ServerConnection> {
--- a/crates/gateway/src/relay/responder.rs
+++ b/crates/gateway/src/relay/responder.rs
@@ -43,7 +43,7 @@
     fn answer_reach(&self, service: &ServiceName) -> GatewayAnswer {
         let routing = self.routes.borrow().as_ref().map(|routes| routes.document.version);
         let reach = self.placer.table.reach(service);
-        told(StatusCode::OK, &RelayAnswer::reach(reach, routing.unwrap_or_default()))
+        answer_question(StatusCode::OK, &RelayAnswer::reach(reach, routing.unwrap_or_default()))
     }
 
     async fn answer_crash(
@@ -60,7 +60,7 @@
             // The view of this entry no longer lists it, so there is nothing to observe.
             None => CrashObservation::NoPath,
         };
-        told(StatusCode::OK, &RelayAnswer::Crash(observation.into()))
+        answer_question(StatusCode::OK, &RelayAnswer::Crash(observation.into()))
     }
 
     /// Forwards a request of another entry's caller. Refuses it at once if this entry has no path to
@@ -102,14 +102,14 @@
             "reason" => reason, "routing" => terms.routing.0);
         let forecast = CapacityForecast::After(NO_PATH_RETRY_BASE);
         let mut response = GatewayAnswer::refused(reason, retry_delay(forecast, rand::random()));
-        let told = RelayAnswer::not_run(terms.tried, &response);
-        attach_answer(&mut response.headers, &told);
+        let relay_answer = RelayAnswer::not_run(terms.tried, &response);
+        attach_answer(&mut response.headers, &relay_answer);
         response
     }
 }
 
 /// Returns a response without a body that carries an answer.
-fn told(status: StatusCode, answer: &RelayAnswer) -> GatewayAnswer {
+fn answer_question(status: StatusCode, answer: &RelayAnswer) -> GatewayAnswer {
     let mut response = GatewayAnswer::own(status, "");
     attach_answer(&mut response.headers, answer);
     response
--- a/crates/gateway/src/relay_attempt.rs
+++ b/crates/gateway/src/relay_attempt.rs
@@ -109,8 +109,8 @@
             }
             Err(_) => return AttemptResult::TimedOut,
         };
-        let told = relay_answer(&answer.headers);
-        let tried = match &told {
+        let reported = relay_answer(&answer.headers);
+        let tried = match &reported {
             Some(
                 RelayAnswer::Answered(tried)
                 | RelayAnswer::NotRun { tried, .. }
@@ -122,7 +122,7 @@
             }
         };
         call.attempt_log.lock().tried = tried;
-        match told {
+        match reported {
             Some(RelayAnswer::Answered(_)) => {
                 self.record_relayed_signals(call, &answer);
                 classify_relayed_answer(&call.request, answer, link, connection, &self.dialect)
