--- a/crates/gateway/src/crash_reporter.rs
+++ b/crates/gateway/src/crash_reporter.rs
@@ -157,12 +157,13 @@
             return None;
         }
         let view = self.view.read().clone();
-        let question = RelayQuestion::Crash(server.name.clone(), server.incarnation);
+        let question = self.placer.crash_question(&server);
+        let asked = RelayQuestion::Crash(question.clone());
         let (own, others) = tokio::join!(
-            self.placer.observe_paths(&view, &server),
-            self.relay.ask_witnesses(&question)
+            self.placer.observe_crash(&view, &question),
+            self.relay.ask_witnesses(&asked)
         );
-        if !is_crash_proved(own, &others) {
+        if !is_crash_proved(&own, &others) {
             self.counters.count("crash-not-proved");
             info!(self.logger, "no proof that a server crashed under a request";
                 "server" => %server.name, "incarnation" => server.incarnation.0,
--- a/crates/gateway/src/placer.rs
+++ b/crates/gateway/src/placer.rs
@@ -4,14 +4,15 @@
     WireDialect,
     body::BodyMemory,
     reach_monitor::ReachMonitor,
+    relay::{CrashQuestion, ServerInstance},
     server_connection::ConnectionOwner,
     server_probe::{PROBE_TIMEOUT, ProbedServer, ServerProbe},
     servers::{BackendServer, ServerTable},
 };
-use futures_util::{StreamExt, stream::FuturesUnordered};
+use futures_util::{StreamExt, future::join_all, stream::FuturesUnordered};
 use policy::{
     CrashObservation, EntryPlace, HoldEnd, PlacementCandidate, PlacementNeed, ReachLevel,
-    cheapest_candidate, first_hold_end, is_warm_up_entry, proves_paths, rendezvous_rank,
+    cheapest_candidate, first_hold_end, is_warm_up_entry, rendezvous_rank,
 };
 use rand::seq::SliceRandom;
 use runtime::DecisionCounters;
@@ -24,7 +25,7 @@
     task::JoinHandle,
     time::{timeout, timeout_at},
 };
-use types::{ClusterView, DomainName, EntryName, PoolSpec, ServerIncarnation, ServerName};
+use types::{ClusterView, DomainName, EntryName, PoolSpec, ServerName};
 
 /// Number of servers that are probed concurrently.
 const PROBE_GROUP_SIZE: usize = 3;
@@ -357,18 +358,6 @@
         PlaceSearch { probes, ..PlaceSearch::default() }.release();
     }
 
-    /// Returns an incarnation of a server that may receive new requests, with the path of its health
-    /// check.
-    pub(crate) fn find_listed(
-        &self,
-        view: &ClusterView,
-        name: &ServerName,
-        incarnation: ServerIncarnation,
-    ) -> Option<(Arc<BackendServer>, Arc<str>)> {
-        let (service, server) = self.table.find(name, incarnation)?;
-        Some((server, view.routing()?.pool(&service)?.health_path.clone()))
-    }
-
     /// Returns whether a server seems to have crashed, to judge by a new connection. A server that
     /// wants no probes counts as running.
     pub(crate) async fn seems_crashed(
@@ -380,25 +369,38 @@
             && self.probe(server, health_path).has_crashed().await
     }
 
-    /// Returns what this entry observed about a server that seems to have crashed: that counts only
-    /// if the entry reaches other servers at the same time.
-    pub(crate) async fn observe_paths(
+    /// Returns the question whether a server has crashed, with a random sample of other servers.
+    pub(crate) fn crash_question(&self, server: &BackendServer) -> CrashQuestion {
+        let sample = self.table.sample(PATH_SAMPLE_SIZE, &server.name);
+        CrashQuestion {
+            server: (server.name.clone(), server.incarnation),
+            sample: sample.iter().map(|other| (other.name.clone(), other.incarnation)).collect(),
+        }
+    }
+
+    /// Tries to reach the servers of a question, all at the same time.
+    pub(crate) async fn observe_crash(
         &self,
         view: &ClusterView,
-        server: &Arc<BackendServer>,
+        question: &CrashQuestion,
     ) -> CrashObservation {
-        let sample: Vec<_> = self
-            .table
-            .sample(PATH_SAMPLE_SIZE, &server.name)
-            .into_iter()
-            .filter(|(_, server)| server.held_until(Instant::now()).is_none())
-            .filter_map(|(service, server)| Some((server, view.routing()?.pool(&service)?)))
-            .collect();
-        let sampled = sample.len();
-        let probes = sample.iter().map(|(server, pool)| self.start_probe(server, pool)).collect();
-        let search = PlaceSearch { probes, ..PlaceSearch::default() };
-        let reached = search.count_answers(|reached| proves_paths(reached, sampled)).await;
-        CrashObservation::of_crashed(reached, sampled)
+        let reaches = |instance| self.reaches(view, instance);
+        let sample = join_all(question.sample.iter().map(reaches));
+        let (reached_server, reached_sample) = tokio::join!(reaches(&question.server), sample);
+        CrashObservation { reached_server, reached_sample: reached_sample.into() }
+    }
+
+    /// Returns whether this entry reaches an instance of a server. One that the view does not list
+    /// has left or started again.
+    async fn reaches(&self, view: &ClusterView, (name, incarnation): &ServerInstance) -> bool {
+        let Some((service, server)) = self.table.find(name, *incarnation) else {
+            return false;
+        };
+        let pool = view.routing().and_then(|document| document.pool(&service));
+        match pool {
+            Some(pool) => !self.seems_crashed(&server, &pool.health_path).await,
+            None => false,
+        }
     }
 
     fn start_probe(
@@ -431,21 +433,6 @@
 }
 
 impl PlaceSearch {
-    /// Returns how many probes were answered. Waits until all have ended, or enough are answered.
-    async fn count_answers(mut self, is_enough: impl Fn(usize) -> bool) -> usize {
-        let mut answered = 0;
-        while !is_enough(answered)
-            && let Some(result) = self.probes.next().await
-        {
-            if let Ok(Some(probed)) = result {
-                answered += 1;
-                release(probed);
-            }
-        }
-        self.release();
-        answered
-    }
-
     /// Puts all connections back into the idle pools; those of probes in flight are put back when
     /// the probes end.
     fn release(mut self) {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -14,6 +14,6 @@
 
 pub(crate) use client::{FoundEntry, RelayClient};
 pub(crate) use message::{
-    ForwardTerms, RELAY_FIELD, RelayAnswer, RelayQuestion, TriedServers, attach_answer, encode,
-    relay_answer,
+    CrashQuestion, ForwardTerms, RELAY_FIELD, RelayAnswer, RelayQuestion, ServerInstance,
+    TriedServers, attach_answer, encode, relay_answer,
 };
--- a/crates/gateway/src/relay/client.rs
+++ b/crates/gateway/src/relay/client.rs
@@ -32,8 +32,9 @@
 const REACH_TIMEOUT: Duration = Duration::from_millis(40);
 /// Maximum number of entries that are asked whether a server has crashed.
 const MAX_WITNESSES: usize = 6;
-/// Timeout of a question about a crash. The other entry waits for silent servers meanwhile.
-const CRASH_TIMEOUT: Duration = Duration::from_millis(400);
+/// Timeout of a question about a crash. Half of it, the time for a kept connection, is longer than the
+/// other entry waits for silent servers.
+const CRASH_TIMEOUT: Duration = Duration::from_millis(600);
 
 /// An entry that can take a request, with the connection on which it has just said so.
 pub(crate) struct FoundEntry {
@@ -184,7 +185,9 @@
             let (answer, connection) = link.ask(question, CRASH_TIMEOUT, &self.memory).await?;
             link.put_connection(connection);
             match answer {
-                RelayAnswer::Crash(verdict) => Some(CrashObservation::from(verdict)),
+                RelayAnswer::Crash { reached_server, reached_sample } => {
+                    Some(CrashObservation { reached_server, reached_sample })
+                }
                 _ => None,
             }
         });
--- a/crates/gateway/src/relay/message.rs
+++ b/crates/gateway/src/relay/message.rs
@@ -2,7 +2,7 @@
 
 use crate::GatewayAnswer;
 use http::{HeaderMap, HeaderName, HeaderValue};
-use policy::{CrashObservation, ServerReach};
+use policy::ServerReach;
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 use types::{RoutingVersion, ServerIncarnation, ServerName, ServiceName};
@@ -15,8 +15,8 @@
 pub(crate) enum RelayQuestion {
     /// How many servers of a service does the entry reach? The request has no other content.
     Reach(ServiceName),
-    /// Has a server crashed? The request has no other content.
-    Crash(ServerName, ServerIncarnation),
+    /// Does the entry reach a server, and those of a sample? The request has no other content.
+    Crash(CrashQuestion),
     /// The request comes from a caller of the sender and is to be forwarded to a server.
     Forward(ForwardTerms),
 }
@@ -49,8 +49,13 @@
         /// The version of the routing document.
         routing: RoutingVersion,
     },
-    /// What the entry observed about a server.
-    Crash(CrashVerdict),
+    /// What the entry observed about a server and the sample.
+    Crash {
+        /// Whether the entry reached the server.
+        reached_server: bool,
+        /// Whether it reached each server of the sample.
+        reached_sample: SmallVec<[bool; 4]>,
+    },
     /// The response is that of a server.
     Answered(TriedServers),
     /// No server has run the request, and none will.
@@ -68,35 +73,16 @@
 /// response, if a server did.
 pub(crate) type TriedServers = SmallVec<[ServerName; 2]>;
 
-/// A [`CrashObservation`] as entries send it.
-#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
-pub(crate) enum CrashVerdict {
-    /// The server is running.
-    Running,
-    /// The server has crashed.
-    Crashed,
-    /// The entry has no path to most servers.
-    NoPath,
-}
+/// One incarnation of a server.
+pub(crate) type ServerInstance = (ServerName, ServerIncarnation);
 
-impl From<CrashObservation> for CrashVerdict {
-    fn from(observation: CrashObservation) -> Self {
-        match observation {
-            CrashObservation::Running => Self::Running,
-            CrashObservation::Crashed => Self::Crashed,
-            CrashObservation::NoPath => Self::NoPath,
-        }
-    }
-}
-
-impl From<CrashVerdict> for CrashObservation {
-    fn from(verdict: CrashVerdict) -> Self {
-        match verdict {
-            CrashVerdict::Running => Self::Running,
-            CrashVerdict::Crashed => Self::Crashed,
-            CrashVerdict::NoPath => Self::NoPath,
-        }
-    }
+/// A server that seems to have crashed, and others that show whether paths are lost.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct CrashQuestion {
+    /// The server.
+    pub(crate) server: ServerInstance,
+    /// The others.
+    pub(crate) sample: SmallVec<[ServerInstance; 4]>,
 }
 
 impl RelayAnswer {
--- a/crates/gateway/src/relay/responder.rs
+++ b/crates/gateway/src/relay/responder.rs
@@ -1,7 +1,8 @@
 //! Answers the questions of other entries.
 
 use super::message::{
-    ForwardTerms, RELAY_FIELD, RelayAnswer, RelayQuestion, attach_answer, relay_question,
+    CrashQuestion, ForwardTerms, RELAY_FIELD, RelayAnswer, RelayQuestion, attach_answer,
+    relay_question,
 };
 use crate::{
     GatewayAnswer,
@@ -16,7 +17,7 @@
     sync::Arc,
     time::{Duration, Instant},
 };
-use types::{ServerIncarnation, ServerName, ServiceName};
+use types::ServiceName;
 
 /// Base of the retry time of a caller whose request two entries could not place.
 const NO_PATH_RETRY_BASE: Duration = Duration::from_millis(200);
@@ -29,9 +30,7 @@
     ) -> GatewayAnswer {
         match relay_question(&request.headers) {
             Some(RelayQuestion::Reach(service)) => self.answer_reach(&service),
-            Some(RelayQuestion::Crash(server, incarnation)) => {
-                self.answer_crash(&server, incarnation).await
-            }
+            Some(RelayQuestion::Crash(question)) => self.answer_crash(&question).await,
             Some(RelayQuestion::Forward(terms)) => {
                 request.headers.remove(RELAY_FIELD);
                 self.forward_for_entry(request, terms).await
@@ -46,21 +45,11 @@
         answer_question(StatusCode::OK, &RelayAnswer::reach(reach, routing.unwrap_or_default()))
     }
 
-    async fn answer_crash(
-        &self,
-        server: &ServerName,
-        incarnation: ServerIncarnation,
-    ) -> GatewayAnswer {
+    async fn answer_crash(&self, question: &CrashQuestion) -> GatewayAnswer {
         let view = self.view.read().clone();
-        let observation = match self.placer.find_listed(&view, server, incarnation) {
-            Some((server, path)) if self.placer.seems_crashed(&server, &path).await => {
-                self.placer.observe_paths(&view, &server).await
-            }
-            Some(_) => CrashObservation::Running,
-            // The view of this entry no longer lists it, so there is nothing to observe.
-            None => CrashObservation::NoPath,
-        };
-        answer_question(StatusCode::OK, &RelayAnswer::Crash(observation.into()))
+        let CrashObservation { reached_server, reached_sample } =
+            self.placer.observe_crash(&view, question).await;
+        answer_question(StatusCode::OK, &RelayAnswer::Crash { reached_server, reached_sample })
     }
 
     /// Forwards a request of another entry's caller. Refuses it at once if this entry has no path to
--- a/crates/gateway/src/servers.rs
+++ b/crates/gateway/src/servers.rs
@@ -334,16 +334,11 @@
     }
 
     /// Returns up to `count` random servers other than `except`, of any service.
-    pub(crate) fn sample(
-        &self,
-        count: usize,
-        except: &ServerName,
-    ) -> Vec<(ServiceName, Arc<BackendServer>)> {
+    pub(crate) fn sample(&self, count: usize, except: &ServerName) -> Vec<Arc<BackendServer>> {
         let services = self.services.read();
-        let listed = services.iter().flat_map(|(service, list)| {
-            list.iter().map(move |server| (service.clone(), server.clone()))
-        });
-        listed.filter(|(_, server)| server.name != *except).choose_multiple(&mut rand::rng(), count)
+        let listed = services.values().flat_map(|list| list.iter());
+        let others = listed.filter(|server| server.name != *except);
+        others.choose_multiple(&mut rand::rng(), count).into_iter().cloned().collect()
     }
 
     /// Returns whether a server may still receive new requests.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -36,7 +36,7 @@
     ColdAllowance, WARM_UP_ENTRIES, is_warm_up_entry, rendezvous_rank, rendezvous_weight,
 };
 pub use cold_start::WarmUpRamp;
-pub use crash_evidence::{CrashObservation, is_crash_proved, proves_paths};
+pub use crash_evidence::{CrashObservation, is_crash_proved};
 pub use directory::{DirectoryServer, HEARTBEAT_TIMEOUT, ServerDirectory};
 pub use entry_ranking::rank_entries;
 pub use first_routes::StartupWait;
