--- a/crates/policy/src/crash_evidence.rs
+++ b/crates/policy/src/crash_evidence.rs
@@ -7,7 +7,7 @@
 
 use smallvec::SmallVec;
 
-/// Minimum number of other entries that must agree if no server at all was reached.
+/// Minimum number of entries that must agree on a crash.
 const MIN_AGREEING: usize = 2;
 
 /// What one entry observed about a server and a sample of others.
@@ -20,24 +20,20 @@
 }
 
 impl CrashObservation {
-    /// Returns whether the entry reached at least half of the sample's servers for which `is_alive`
-    /// holds, and at least one.
-    fn has_paths(&self, is_alive: &[bool]) -> bool {
+    /// Returns how many of the sample's servers for which `is_alive` holds the entry reached.
+    fn count_reached(&self, is_alive: &[bool]) -> usize {
         let alive = self.reached_sample.iter().zip(is_alive).filter(|(_, is_alive)| **is_alive);
-        let (mut reached, mut total) = (0, 0);
-        for (is_reached, _) in alive {
-            reached += usize::from(*is_reached);
-            total += 1;
-        }
-        reached > 0 && reached * 2 >= total
+        alive.filter(|(is_reached, _)| **is_reached).count()
     }
 }
 
 /// Returns whether the observations prove that a server has crashed. `others` holds those of the
 /// other entries that answered.
 ///
-/// No entry must have reached the server, and more than half of the entries must have paths to
-/// servers. If no server of the sample was reached either, several other entries must agree.
+/// No entry must have reached the server. Entries that reached none of the sample's servers that
+/// others reached are cut off, and do not count; of the rest, more than half must have reached most
+/// of these servers, and at least [`MIN_AGREEING`] if other entries answered. If no server of the
+/// sample was reached, as many other entries must agree.
 pub fn is_crash_proved(own: &CrashObservation, others: &[CrashObservation]) -> bool {
     let observations = || others.iter().chain([own]);
     if observations().any(|observation| observation.reached_server) {
@@ -46,9 +42,12 @@
     let is_alive: SmallVec<[bool; 4]> = (0..own.reached_sample.len())
         .map(|index| observations().any(|o| o.reached_sample.get(index) == Some(&true)))
         .collect();
-    if !is_alive.contains(&true) {
+    let alive = is_alive.iter().filter(|is_alive| **is_alive).count();
+    if alive == 0 {
         return others.len() >= MIN_AGREEING;
     }
-    let with_paths = observations().filter(|o| o.has_paths(&is_alive)).count();
-    with_paths * 2 > others.len() + 1
+    let counts = || observations().map(|observation| observation.count_reached(&is_alive));
+    let connected = counts().filter(|reached| *reached > 0).count();
+    let with_paths = counts().filter(|reached| *reached * 2 > alive).count();
+    with_paths * 2 > connected && with_paths >= MIN_AGREEING.min(others.len() + 1)
 }
