--- a/crates/policy/src/crash_evidence.rs
+++ b/crates/policy/src/crash_evidence.rs
@@ -32,7 +32,7 @@
 ///
 /// No entry must have reached the server. Entries that reached none of the sample's servers that
 /// others reached are cut off, and do not count; of the rest, more than half must have reached most
-/// of these servers, and at least [`MIN_AGREEING`] if other entries answered. If no server of the
+/// of these servers, and at least two if other entries answered. If no server of the
 /// sample was reached, as many other entries must agree.
 pub fn is_crash_proved(own: &CrashObservation, others: &[CrashObservation]) -> bool {
     let observations = || others.iter().chain([own]);
