--- a/crates/gateway/src/answer_body.rs
+++ b/crates/gateway/src/answer_body.rs
@@ -132,6 +132,9 @@
                 Some(frame) => {
                     // Trailer fields are not forwarded.
                     if let Ok(data) = frame.map_err(StreamError::BrokenOff)?.into_data() {
+                        if let Some(connection) = &self.connection {
+                            connection.record_progress();
+                        }
                         return Ok(Some(data));
                     }
                 }
--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -3,6 +3,7 @@
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use runtime::ReadMeter;
 use std::sync::{
     Arc,
     atomic::{AtomicU64, Ordering},
@@ -70,11 +71,13 @@
     pub(crate) rest: Option<Incoming>,
 }
 
-/// Reads a body until its end, or until more than `limit` bytes are read.
+/// Reads a body until its end, or until more than `limit` bytes are read. `meter` is that of the
+/// connection.
 pub(crate) async fn read_start(
     mut body: Incoming,
     limit: usize,
     memory: &Arc<BodyMemory>,
+    meter: &ReadMeter,
 ) -> Result<BodyStart, BodyError> {
     let mut reservation = MemoryReservation::new(memory);
     let mut buffer = BytesMut::new();
@@ -83,6 +86,7 @@
             return Ok(BodyStart { bytes: buffer.freeze(), reservation, rest: None });
         };
         if let Ok(data) = frame.map_err(BodyError::BrokenOff)?.into_data() {
+            meter.record_progress();
             reservation.grow(data.len() as u64)?;
             buffer.extend_from_slice(&data);
         }
--- a/crates/gateway/src/server_connection.rs
+++ b/crates/gateway/src/server_connection.rs
@@ -9,6 +9,7 @@
     client::conn::http1::{self, SendRequest},
 };
 use hyper_util::rt::TokioIo;
+use runtime::{MeteredStream, ReadMeter};
 use socket2::SockRef;
 use std::{
     io,
@@ -21,6 +22,9 @@
 
 /// Maximum size of a response head, and of the read buffer of a connection, in bytes.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
+/// Maximum number of bytes that are read without a head or a part of a body, in bytes. Larger than a
+/// head, the read buffer and the parts of a body that wait for their reader together.
+const MAX_UNUSED_BYTES: usize = 4 * MAX_HEAD_BYTES;
 /// Keep-alive time that is assumed if the server does not state one.
 const DEFAULT_KEEP_ALIVE: Duration = Duration::from_secs(10);
 /// Fraction of the keep-alive time for which an idle connection is reused.
@@ -69,6 +73,7 @@
 pub(crate) struct ServerConnection {
     sender: SendRequest<Full<Bytes>>,
     driver: AbortHandle,
+    meter: ReadMeter,
     keep_alive: Duration,
     last_used: Instant,
 }
@@ -89,6 +94,8 @@
     pub(crate) async fn on_stream(stream: TcpStream) -> io::Result<Self> {
         stream.set_nodelay(true)?;
         SockRef::from(&stream).set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))?;
+        let meter = ReadMeter::default();
+        let stream = MeteredStream::new(stream, meter.clone(), MAX_UNUSED_BYTES);
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
             .handshake(TokioIo::new(stream))
@@ -96,7 +103,13 @@
             .map_err(io::Error::other)?;
         // Errors of the connection are reported by the request in flight.
         let driver = tokio::spawn(async move { drop(connection.await) }).abort_handle();
-        Ok(Self { sender, driver, keep_alive: DEFAULT_KEEP_ALIVE, last_used: Instant::now() })
+        let (keep_alive, last_used) = (DEFAULT_KEEP_ALIVE, Instant::now());
+        Ok(Self { sender, driver, meter, keep_alive, last_used })
+    }
+
+    /// Records that a part of a body was received.
+    pub(crate) fn record_progress(&self) {
+        self.meter.record_progress();
     }
 
     /// Returns whether the idle connection may be reused. A probe is always sent on it before a
@@ -116,6 +129,7 @@
         if let Err(error) = self.sender.ready().await {
             return Err(ExchangeError::NotSent(error.to_string()));
         }
+        self.meter.record_progress();
         let response = match self.sender.try_send_request(request).await {
             Ok(response) => response,
             Err(mut failure) => {
@@ -128,9 +142,10 @@
                 });
             }
         };
+        self.meter.record_progress();
         let (parts, body) = response.into_parts();
         let length = body.size_hint().exact();
-        let body = read_start(body, max_body_bytes, memory)
+        let body = read_start(body, max_body_bytes, memory, &self.meter)
             .await
             .map_err(|error| ExchangeError::MaybeSent(error.to_string()))?;
         self.last_used = Instant::now();
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -1,7 +1,8 @@
-//! Services used by all parts of a process: settings, clock and timers, logging, metrics, and the
-//! event timeline.
+//! Services used by all parts of a process: settings, clock and timers, logging, metrics, the event
+//! timeline, and streams with limits.
 
 mod logging;
+mod metered_stream;
 mod metrics;
 mod priority_queue;
 mod settings;
@@ -9,6 +10,7 @@
 mod timer;
 
 pub use logging::{LogFormat, root_logger};
+pub use metered_stream::{MeteredStream, NoProgress, ReadMeter};
 pub use metrics::{DecisionCounters, MetricsRegistry};
 pub use priority_queue::{ClassSettings, PriorityQueue, QueueBatch};
 pub use prometheus_client::metrics::histogram::Histogram;
--- a/crates/server/src/connection.rs
+++ b/crates/server/src/connection.rs
@@ -10,6 +10,7 @@
 use http::{Request, Response};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::{body::Incoming, client::conn::http1::SendRequest};
+use runtime::ReadMeter;
 use std::{net::SocketAddr, sync::Arc, time::Instant};
 use tokio::time::timeout_at;
 use types::{HeaderField, ServerIncarnation, header};
@@ -54,7 +55,8 @@
                 return Err(self.send_error(was_returned, &error.into_error()));
             }
         };
-        read_answer(response).await
+        self.gate.meter().record_progress();
+        read_answer(response, self.gate.meter()).await
     }
 
     /// Classifies a failed send. `was_returned` says whether the HTTP library returned the request
@@ -117,8 +119,15 @@
 }
 
 /// Reads the complete body and the fields that the server reports in headers.
-async fn read_answer(response: Response<Incoming>) -> Result<ServerAnswer, SendError> {
+async fn read_answer(
+    response: Response<Incoming>,
+    meter: &ReadMeter,
+) -> Result<ServerAnswer, SendError> {
     let (parts, body) = response.into_parts();
+    let body = body.map_frame(|frame| {
+        meter.record_progress();
+        frame
+    });
     let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await.map_err(|error| {
         if error.is::<LengthLimitError>() {
             SendError::TooLarge(MAX_ANSWER_BYTES)
--- a/crates/server/src/guarded_stream.rs
+++ b/crates/server/src/guarded_stream.rs
@@ -8,6 +8,7 @@
 use crate::StartGuard;
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
+use runtime::{MeteredStream, ReadMeter};
 use std::{
     io,
     pin::Pin,
@@ -22,6 +23,10 @@
     net::TcpStream,
 };
 
+/// Maximum number of bytes that are read without a head or a part of a body, in bytes. Larger than
+/// what the HTTP library buffers by default.
+const MAX_UNUSED_BYTES: usize = 2 * 1024 * 1024;
+
 /// Progress of the current request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 #[repr(u8)]
@@ -40,6 +45,7 @@
 pub(crate) struct SendGate {
     stage: AtomicU8,
     guard: Mutex<Option<StartGuard>>,
+    meter: ReadMeter,
 }
 
 impl SendGate {
@@ -47,6 +53,12 @@
     pub(crate) fn set_guard(&self, guard: StartGuard) {
         *self.guard.lock() = Some(guard);
         self.stage.store(SendStage::NotStarted as u8, Ordering::Release);
+        self.meter.record_progress();
+    }
+
+    /// Returns the meter of what the connection reads.
+    pub(crate) fn meter(&self) -> &ReadMeter {
+        &self.meter
     }
 
     /// Returns the progress of the current request.
@@ -76,12 +88,13 @@
 
 /// A TCP stream whose writes fail with `PermissionDenied` if the gate's guard refused the request.
 pub(crate) struct GuardedStream {
-    stream: TcpStream,
+    stream: MeteredStream<TcpStream>,
     gate: Arc<SendGate>,
 }
 
 impl GuardedStream {
     pub(crate) fn new(stream: TcpStream, gate: Arc<SendGate>) -> TokioIo<Self> {
+        let stream = MeteredStream::new(stream, gate.meter.clone(), MAX_UNUSED_BYTES);
         TokioIo::new(Self { stream, gate })
     }
 }
