--- a/crates/consensus/src/core.rs
+++ b/crates/consensus/src/core.rs
@@ -2,7 +2,8 @@
 
 use crate::{
     AppendResult, Effects, Envelope, HardState, LogEntry, LogIndex, LogPayload, Membership,
-    Message, ReplicaId, RestoredState, SnapshotImage, Term, log::MemoryLog, role::RoleState,
+    Message, ReplicaId, RestoredState, RetainedLog, SnapshotImage, Term, log::MemoryLog,
+    role::RoleState,
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use thiserror::Error;
@@ -297,14 +298,14 @@
     }
 
     /// Creates a snapshot at `index` from `state`, and drops the log up to `index` except for the
-    /// last `tail` entries. `index` is limited to the entries returned for application so far.
+    /// last entries within the limits of `retained`. `index` is limited to the entries returned for application so far.
     ///
     /// Returns the new snapshot, or `None` if there is one of that or a later index already.
     pub fn compact(
         &mut self,
         index: LogIndex,
         state: std::sync::Arc<[u8]>,
-        tail: u64,
+        retained: RetainedLog,
     ) -> Option<&SnapshotImage> {
         let index = index.min(self.emitted);
         if self.image.as_ref().is_some_and(|image| image.index >= index) {
@@ -313,7 +314,7 @@
         let term = self.log.term(index)?;
         let time = self.log.get(index).map_or(LogTime::default(), |entry| entry.time);
         let membership = self.membership_at(index);
-        self.log.compact(LogIndex(index.0.saturating_sub(tail)));
+        self.log.compact(index, retained);
         let first_kept = self.memberships.iter().rposition(|(since, _)| *since <= index);
         self.memberships.drain(..first_kept.unwrap_or(0));
         self.image = Some(SnapshotImage { index, term, time, membership, state });
--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -19,7 +19,7 @@
 pub use crate::core::{Consensus, ConsensusError, CoreSettings, LeaderHint, ReplicaRole};
 pub use effects::{Effects, HardState, ReadToken, ReadyRead, RestoredState};
 pub use leader::FollowerStatus;
-pub use log::{LogEntry, LogIndex, LogPayload, SnapshotImage, Term};
+pub use log::{LogEntry, LogIndex, LogPayload, RetainedLog, SnapshotImage, Term};
 pub use membership::{
     Member, MemberRole, Membership, MembershipChange, MembershipError, ReplicaId,
 };
--- a/crates/consensus/src/log.rs
+++ b/crates/consensus/src/log.rs
@@ -92,6 +92,16 @@
     pub state: Arc<[u8]>,
 }
 
+/// Limits on the log entries that stay in memory although a snapshot covers them, for followers that
+/// lag slightly.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RetainedLog {
+    /// Maximum number of entries.
+    pub entries: usize,
+    /// Approximate maximum size of the entries, in bytes.
+    pub bytes: usize,
+}
+
 /// The log entries after `base_index`, the last entry that was compacted away or replaced by a
 /// snapshot.
 #[derive(Debug, Default)]
@@ -185,8 +195,10 @@
         self.entries.truncate(kept as usize);
     }
 
-    /// Removes the entries up to `index`, which a snapshot covers.
-    pub(crate) fn compact(&mut self, index: LogIndex) {
+    /// Removes the entries up to `index`, which a snapshot covers, except the last ones within the
+    /// limits of `retained`.
+    pub(crate) fn compact(&mut self, index: LogIndex, retained: RetainedLog) {
+        let index = self.compaction_index(index, retained);
         let Some(entry) = self.get(index) else {
             return;
         };
@@ -198,6 +210,20 @@
         self.base_time = time;
     }
 
+    /// Returns the last index up to which entries are removed when a snapshot covers those up to
+    /// `index`.
+    fn compaction_index(&self, index: LogIndex, retained: RetainedLog) -> LogIndex {
+        let covered = index.0.saturating_sub(self.base_index.0) as usize;
+        let covered = &self.entries[..covered.min(self.entries.len())];
+        let mut bytes = 0;
+        let is_within_limit = |entry: &&LogEntry| {
+            bytes += entry.approximate_bytes();
+            bytes <= retained.bytes
+        };
+        let count = covered.iter().rev().take(retained.entries).take_while(is_within_limit).count();
+        LogIndex(index.0 - count as u64)
+    }
+
     pub(crate) fn entries(&self) -> &[LogEntry] {
         &self.entries
     }
--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -10,7 +10,7 @@
 use peer::{PeerLink, PeerTarget, QuicNode, TlsMaterial};
 use policy::{AdmissionSettings, BalancerSettings, LatencySelector};
 use rand::random;
-use replica::{FileStore, LEADER_WAIT, ReplicaSettings, start_replica};
+use replica::{FileStore, HistoryLimits, LEADER_WAIT, ReplicaSettings, start_replica};
 use runtime::{
     EventTimeline, Logger, MetricsRegistry, ProcessRole, ProcessSettings, TimerService, root_logger,
 };
@@ -114,6 +114,7 @@
             address: self.settings.peer_address,
             domain: self.settings.failure_domain.clone(),
             core: CoreSettings { seed: random(), ..CoreSettings::default() },
+            history: HistoryLimits::default(),
             leader_wait: LEADER_WAIT,
             link: self.link(),
             timer: self.timer.clone(),
--- a/crates/daemon/src/site.rs
+++ b/crates/daemon/src/site.rs
@@ -15,7 +15,9 @@
 };
 use policy::StartupWait;
 use rand::random;
-use replica::{FileStore, LEADER_WAIT, ReplicaHandle, ReplicaSettings, start_replica};
+use replica::{
+    FileStore, HistoryLimits, LEADER_WAIT, ReplicaHandle, ReplicaSettings, start_replica,
+};
 use runtime::{EventTimeline, LogFormat, Logger, MetricsRegistry, TimerService, root_logger};
 use slog::{error, info, warn};
 use std::{
@@ -204,6 +206,7 @@
             address: settings.peer_address(),
             domain: settings.domain.clone(),
             core: CoreSettings { seed: random(), ..CoreSettings::default() },
+            history: HistoryLimits::for_memory(settings.memory_bytes),
             leader_wait: LEADER_WAIT,
             link: Arc::new(self.node.clone()),
             timer: self.timer.clone(),
--- a/crates/replica/src/driver.rs
+++ b/crates/replica/src/driver.rs
@@ -9,7 +9,7 @@
 mod snapshots;
 
 use crate::{
-    KnownLeader, MemberList, ReplicaHandle, ReplicaStatus,
+    HistoryLimits, KnownLeader, MemberList, ReplicaHandle, ReplicaStatus,
     entry_leases::EntryLeases,
     input_queue::{InputClass, InputQueue, InputSender, WeakInputSender},
     server_leases::ServerLeases,
@@ -70,6 +70,8 @@
     pub domain: DomainName,
     /// Timing of the consensus core.
     pub core: CoreSettings,
+    /// Limits on what the replica keeps for entries and followers that lag.
+    pub history: HistoryLimits,
     /// How long an entry's request waits for a leader to be elected, see [`LEADER_WAIT`].
     pub leader_wait: Duration,
     /// Links to the other replicas.
@@ -202,7 +204,7 @@
         restored: RestoredState,
         inputs: WeakInputSender,
     ) -> Result<Self, StoreError> {
-        let state = decode_state(restored.image.as_ref())?;
+        let state = decode_state(restored.image.as_ref(), &settings.history)?;
         let applied = restored.image.as_ref().map_or(LogIndex(0), |image| image.index);
         let snapshot_bytes = restored.image.as_ref().map_or(0, |image| image.state.len() as u64);
         let core = Consensus::new(settings.identity, settings.core.clone(), restored);
--- a/crates/replica/src/driver/snapshots.rs
+++ b/crates/replica/src/driver/snapshots.rs
@@ -2,17 +2,18 @@
 //! received from the leader.
 
 use super::ReplicaDriver;
-use crate::store::{LogBatch, StoreError};
+use crate::{
+    HistoryLimits,
+    store::{LogBatch, StoreError},
+};
 use consensus::{Consensus, LogIndex, Member, Membership, RestoredState, SnapshotImage, Term};
 use slog::{error, info, warn};
 use std::sync::Arc;
 use types::{ClusterState, LogTime};
 
 /// Minimum log size in bytes for a snapshot. The log must also be at least twice as large as the
-/// last snapshot.
+/// last snapshot, or reach [`crate::HistoryLimits::log_file_bytes`].
 const SNAPSHOT_MIN_LOG_BYTES: u64 = 4 * 1024 * 1024;
-/// Number of log entries kept in memory after a snapshot, for followers that lag slightly.
-const RETAINED_ENTRIES: u64 = 4_096;
 
 impl ReplicaDriver {
     pub(super) fn bootstrap(&mut self, members: Vec<Member>) -> Result<(), String> {
@@ -46,7 +47,7 @@
     }
 
     pub(super) fn install_snapshot(&mut self, image: &SnapshotImage) {
-        match decode_state(Some(image)) {
+        match decode_state(Some(image), &self.settings.history) {
             Ok(state) => {
                 self.state = state;
                 self.applied = image.index;
@@ -61,7 +62,9 @@
     }
 
     pub(super) fn make_snapshot_if_due(&mut self) {
-        let limit = SNAPSHOT_MIN_LOG_BYTES.max(2 * self.snapshot_bytes);
+        let limits = self.settings.history;
+        let limit = (2 * self.snapshot_bytes).min(limits.log_file_bytes);
+        let limit = limit.max(SNAPSHOT_MIN_LOG_BYTES);
         if self.store.log_bytes() < limit {
             return;
         }
@@ -70,7 +73,8 @@
         };
         self.snapshot_bytes = state.len() as u64;
         let hard_state = Some(self.core.hard_state());
-        let Some(image) = self.core.compact(self.applied, state, RETAINED_ENTRIES).cloned() else {
+        let compacted = self.core.compact(self.applied, state, limits.retained_log);
+        let Some(image) = compacted.cloned() else {
             return;
         };
         let newer = self.core.entries().iter().filter(|entry| entry.index > image.index);
@@ -91,13 +95,18 @@
 }
 
 /// Decodes the state machine from a snapshot. Returns an empty one if there is no snapshot.
-pub(super) fn decode_state(image: Option<&SnapshotImage>) -> Result<ClusterState, StoreError> {
-    let Some(image) = image else {
-        return Ok(ClusterState::default());
+pub(super) fn decode_state(
+    image: Option<&SnapshotImage>,
+    limits: &HistoryLimits,
+) -> Result<ClusterState, StoreError> {
+    let mut state = match image {
+        None => ClusterState::default(),
+        Some(image) => postcard::from_bytes(&image.state).map_err(|error| StoreError::Damaged {
+            path: "snapshot".into(),
+            offset: 0,
+            reason: error.to_string(),
+        })?,
     };
-    postcard::from_bytes(&image.state).map_err(|error| StoreError::Damaged {
-        path: "snapshot".into(),
-        offset: 0,
-        reason: error.to_string(),
-    })
+    state.set_view_log_bytes(limits.view_log_bytes);
+    Ok(state)
 }
--- a/crates/testkit/examples/bench_replicas.rs
+++ b/crates/testkit/examples/bench_replicas.rs
@@ -6,7 +6,9 @@
 use consensus::{CoreSettings, Member, MemberRole, ReplicaId};
 use hawthornhill_testkit::{MemoryNet, TestSystem, latency_histogram, sleep_ms};
 use peer::{PeerAnswer, PeerHandler, PeerRequest, SubmitAnswer};
-use replica::{FileStore, LEADER_WAIT, ReplicaHandle, ReplicaSettings, start_replica};
+use replica::{
+    FileStore, HistoryLimits, LEADER_WAIT, ReplicaHandle, ReplicaSettings, start_replica,
+};
 use runtime::{EventTimeline, MetricsRegistry, TimerService};
 use std::{
     net::SocketAddr,
@@ -42,6 +44,7 @@
         address,
         domain: "d".parse().expect("valid"),
         core: CoreSettings { seed: u64::from(number), ..CoreSettings::default() },
+        history: HistoryLimits::default(),
         leader_wait: LEADER_WAIT,
         link: net.link(host),
         timer: TimerService::start(),
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -18,6 +18,7 @@
 mod server_info;
 mod state;
 mod view;
+mod view_log;
 
 pub use call::{CallAnswer, CallRequest, HeaderField, header};
 pub use change::{
@@ -50,9 +51,10 @@
     StateViolation,
 };
 pub use view::{
-    ClusterView, RANGE_COUNT, RangeIndex, RangeLease, VIEW_LOG_LIMIT, ViewChange, ViewError,
-    ViewUpdate, ViewVersion, server_range,
+    ClusterView, RANGE_COUNT, RangeIndex, RangeLease, ViewChange, ViewError, ViewUpdate,
+    ViewVersion, server_range,
 };
+pub use view_log::{VIEW_LOG_LIMIT, ViewLog};
 
 use std::time::Duration;
 
--- a/crates/types/src/routing.rs
+++ b/crates/types/src/routing.rs
@@ -222,12 +222,35 @@
         }
     }
 
+    /// Returns the approximate size in memory, in bytes.
+    pub fn approximate_bytes(&self) -> usize {
+        routes_bytes(&self.routes) + self.pools.len() * size_of::<PoolSpec>()
+    }
+
     /// Returns the settings of a service.
     pub fn pool(&self, service: &ServiceName) -> Option<&PoolSpec> {
         self.pools.iter().find(|pool| pool.service == *service)
     }
 }
 
+impl RoutingPatch {
+    /// Returns the approximate size in memory, in bytes.
+    pub fn approximate_bytes(&self) -> usize {
+        let removed = self.removed.iter().map(|(host, prefix)| host.len() + prefix.len());
+        let pools = self.pools.as_ref().map_or(0, Vec::len) * size_of::<PoolSpec>();
+        removed.sum::<usize>() + routes_bytes(&self.put) + pools
+    }
+}
+
+/// Returns the approximate size in memory of routes and their texts, in bytes.
+fn routes_bytes(routes: &[Arc<RouteSpec>]) -> usize {
+    let text_bytes = |route: &RouteSpec| {
+        let services = route.parts.iter().map(|part| part.service.as_str().len());
+        route.name.len() + route.host.len() + route.prefix.len() + services.sum::<usize>()
+    };
+    routes.iter().map(|route| size_of::<RouteSpec>() + text_bytes(route)).sum()
+}
+
 impl RouteSpec {
     /// Returns the timeout of a request.
     pub fn timeout(&self) -> Duration {
--- a/crates/types/src/state.rs
+++ b/crates/types/src/state.rs
@@ -11,7 +11,7 @@
     ClaimKey, ClaimRelease, ClaimRequest, ClaimResult, ClusterView, CrashLedger, DocumentVersion,
     DomainName, EntryIncarnation, EntryInfo, EntryName, LogTime, QuarantineChange, RefusalKind,
     RequestReport, RoutingDocument, RoutingVersion, ServerIncarnation, ServerName, TeamDocument,
-    VIEW_LOG_LIMIT, ViewChange, ViewError, ViewUpdate, ViewVersion,
+    ViewChange, ViewError, ViewLog, ViewUpdate, ViewVersion,
 };
 use claims::{ClaimRecord, ClaimStage};
 use serde::{Deserialize, Serialize};
@@ -144,8 +144,7 @@
 pub struct ClusterState {
     time: LogTime,
     view: ClusterView,
-    /// The latest changes of the view, oldest first; at most [`VIEW_LOG_LIMIT`].
-    recent: VecDeque<ViewChange>,
+    recent: ViewLog,
     /// Digests and answers of decided changes, kept to answer resends.
     decided: BTreeMap<ChangeId, (ChangeDigest, ChangeAnswer)>,
     /// The ids in `decided`, oldest first.
@@ -179,6 +178,11 @@
         &self.routing_source
     }
 
+    /// Sets the maximum size in memory of the changes that are kept for entries that lag, in bytes.
+    pub fn set_view_log_bytes(&mut self, limit_bytes: usize) {
+        self.recent.set_limit_bytes(limit_bytes);
+    }
+
     /// Returns the number of stored claims.
     pub fn claim_count(&self) -> usize {
         self.claims.len()
@@ -272,10 +276,7 @@
 
     fn change_view(&mut self, change: ViewChange) {
         self.view.apply(&change);
-        self.recent.push_back(change);
-        if self.recent.len() > VIEW_LOG_LIMIT {
-            self.recent.pop_front();
-        }
+        self.recent.push(change);
     }
 
     fn decide_change(&mut self, change: &ChangeRequest) -> ChangeAnswer {
--- a/crates/types/src/view.rs
+++ b/crates/types/src/view.rs
@@ -17,8 +17,8 @@
 
 /// Number of ranges into which servers are hashed.
 pub const RANGE_COUNT: usize = 256;
-/// Maximum number of recent changes kept for entries that lag.
-pub const VIEW_LOG_LIMIT: usize = 1024;
+/// Approximate size of a change without a document in memory, in bytes.
+const SMALL_CHANGE_BYTES: usize = 256;
 
 /// Version of the view, incremented by each change.
 #[derive(
@@ -66,6 +66,20 @@
     SetQuarantine(RequestFingerprint, Option<QuarantineStage>),
 }
 
+impl ViewChange {
+    /// Returns the approximate size in memory, in bytes.
+    pub fn approximate_bytes(&self) -> usize {
+        let content = match self {
+            Self::PutDocument(document, _) => document.services.len() * size_of::<ServiceSpec>(),
+            Self::AssignRanges(assignments) => assignments.len() * size_of::<RangeLease>(),
+            Self::PutRouting(document) => document.approximate_bytes(),
+            Self::PatchRouting(patch) => patch.approximate_bytes(),
+            _ => 0,
+        };
+        SMALL_CHANGE_BYTES + content
+    }
+}
+
 /// Update that brings an entry to the current view.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ViewUpdate {
