--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -180,6 +180,10 @@
         }
     }
 
+    fn is_stopping(&self) -> bool {
+        *self.stop.borrow() > StopStage::Serving
+    }
+
     /// Returns whether a request, or part of one, has been read but not started.
     fn has_pending_input(&self) -> bool {
         !self.buffer.is_empty() || self.partial.is_some() || self.deferred.is_some()
@@ -199,6 +203,11 @@
     /// Starts all requests that are complete and may run now.
     async fn start_requests(&mut self) -> io::Result<()> {
         while !self.is_input_closed && self.running.len() < MAX_PIPELINED && !self.is_exclusive {
+            // The connection closes once the running requests are answered. Callers send again what
+            // was not started by then.
+            if self.is_stopping() && !self.running.is_empty() {
+                return Ok(());
+            }
             if self.deferred.is_none() {
                 self.deferred = self.next_request().await?;
             }
@@ -328,8 +337,8 @@
             answer = GatewayAnswer::own(StatusCode::BAD_GATEWAY, reason);
             AnswerFraming::Length(answer.body.length().unwrap_or_default())
         });
-        let is_stopping = *self.stop.borrow() > StopStage::Serving;
-        let is_last = traits.is_last || answer.is_last || is_stopping;
+        let has_more = !self.running.is_empty() || !self.finished.is_empty();
+        let is_last = traits.is_last || answer.is_last || (self.is_stopping() && !has_more);
         if let Some(wait) = answer.retry_after {
             self.forwarder.dialect.write_retry_after(&mut answer.headers, wait);
         }
--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -23,7 +23,7 @@
 pub(crate) enum StopStage {
     /// No shutdown has begun.
     Serving,
-    /// Each connection is closed after its next response.
+    /// Each connection is closed after the responses to the requests that run on it.
     FinishingRequests,
     /// Idle connections are closed, and no new connections are accepted.
     Closing,
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -258,9 +258,10 @@
         self.store.view()
     }
 
-    /// Stops gracefully: registers as no longer serving, closes each connection after its next
-    /// response, and after [`GatewaySettings::accept_grace`] also closes idle connections. Returns
-    /// whether all connections were closed within [`GatewaySettings::stop_grace`] after that.
+    /// Stops gracefully: registers as no longer serving, closes each connection after the responses
+    /// to the requests that run on it, and after [`GatewaySettings::accept_grace`] also closes idle
+    /// connections. Returns whether all connections were closed within
+    /// [`GatewaySettings::stop_grace`] after that.
     pub async fn stop(&self) -> bool {
         self.timeline.record(EventKind::StopBegun, EventTags::default(), String::new());
         self.store.info.write().serving = false;
