--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -41,6 +41,10 @@
 /// bytes would reset it, and the caller might lose the last response.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Reason for the refusal of requests that are complete only after a stopping entry has stopped
+/// accepting connections: they might not end before the process does.
+const STOPPING: &str = "the entry is stopping";
+
 /// A request whose body is not complete.
 struct PartialRequest {
     head: RequestHead,
@@ -220,6 +224,10 @@
                 return Ok(());
             }
             let PendingRequest { request, traits } = pending;
+            if *self.stop.borrow() == StopStage::Closing {
+                self.refuse_request(traits, StatusCode::SERVICE_UNAVAILABLE, STOPPING);
+                return Ok(());
+            }
             self.is_exclusive = !may_run_concurrently;
             self.is_input_closed = traits.is_last;
             let (forwarder, source) = (self.forwarder.clone(), self.source);
@@ -318,9 +326,14 @@
 
     /// Queues a refusal after all earlier responses, and stops reading.
     fn refuse(&mut self, status: StatusCode, reason: &str) {
-        let answer = GatewayAnswer { is_last: true, ..GatewayAnswer::own(status, reason) };
         let traits =
             RequestTraits { method: Method::GET, id: None, accepts_chunks: true, is_last: true };
+        self.refuse_request(traits, status, reason);
+    }
+
+    /// Does the same for a request whose head was read.
+    fn refuse_request(&mut self, traits: RequestTraits, status: StatusCode, reason: &str) {
+        let answer = GatewayAnswer { is_last: true, ..GatewayAnswer::own(status, reason) };
         let refused = FinishedRequest { answer, traits };
         self.forwarder.record_refusal(status, reason);
         self.is_input_closed = true;
--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -25,7 +25,8 @@
     Serving,
     /// Each connection is closed after the responses to the requests that run on it.
     FinishingRequests,
-    /// Idle connections are closed, and no new connections are accepted.
+    /// Idle connections are closed, no new connections are accepted, and requests that are complete
+    /// only now are refused.
     Closing,
 }
 
--- a/crates/gateway/tests/planned_stop.rs
+++ b/crates/gateway/tests/planned_stop.rs
@@ -1,4 +1,5 @@
-//! Planned stops of an entry while callers have several requests on one connection.
+//! Planned stops of an entry while callers have several requests on one connection, or have sent a
+//! part of one.
 
 mod harness;
 
@@ -16,6 +17,8 @@
 
 /// Time in which the test machine starts what is due at once.
 const SLACK: Duration = Duration::from_secs(5);
+/// The stage in which a stopping entry still accepts connections, with time to spare.
+const ACCEPT_GRACE: Duration = Duration::from_millis(400);
 
 async fn start(delay_ms: u64) -> (Arc<ScriptedServer>, TestGateway) {
     let server = ScriptedServer::start("s1", "a", Script::Answer(200, delay_ms)).await;
@@ -88,3 +91,25 @@
     assert_eq!(server.runs(), 1);
     assert!(stopping.await.expect("no panic"), "all connections are closed");
 }
+
+/// Guards against requests that are complete only late in a planned stop, are passed on, and are cut
+/// at its end, among them those that may not be repeated.
+#[tokio::test]
+async fn request_that_is_complete_late_in_a_planned_stop_is_refused_and_not_run() {
+    let (server, gateway) = start(60_000).await;
+    let head = "POST /order/x HTTP/1.1\r\nhost: shop.example\r\nx-id: o1\r\nx-ms: 60000\r\n\
+                content-length: 3\r\n\r\na";
+    let mut caller = connect(&gateway, head).await;
+    sleep(Duration::from_millis(50)).await;
+    let stopping = stop(&gateway);
+    sleep(ACCEPT_GRACE).await;
+    let completed = Instant::now();
+    caller.write_all(b"bc").await.expect("sent");
+    let responses = read_responses(&mut caller).await;
+    assert_eq!(responses.len(), 1, "{responses:?}");
+    assert!(responses[0].starts_with("503 "), "{responses:?}");
+    assert!(responses[0].contains("connection: close"), "{responses:?}");
+    assert!(completed.elapsed() < Duration::from_secs(1), "refused at once");
+    assert_eq!(server.runs(), 0);
+    assert!(stopping.await.expect("no panic"), "all connections are closed");
+}
