--- a/crates/control/src/error.rs
+++ b/crates/control/src/error.rs
@@ -31,3 +31,10 @@
     #[error("report: {0} findings are too many")]
     InvalidReport(usize),
 }
+
+impl ControlError {
+    /// The leader answered another command than the one submitted.
+    pub(crate) fn unexpected_answer() -> Self {
+        Self::Unavailable("the leader answered another command".to_owned())
+    }
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -4,6 +4,7 @@
 //! once they are committed to the replicated log. The set of replicas is bootstrapped from seeds;
 //! lost members are removed, and new replicas join.
 
+mod conditional_orders;
 mod directory;
 mod error;
 mod group;
--- a/crates/control/src/plane.rs
+++ b/crates/control/src/plane.rs
@@ -1,34 +1,27 @@
 //! The interface of the control plane and its implementation on top of a replica.
 
 use crate::{
-    ControlError, EntryDirectory, directory_entries, liveness::LivenessReporter,
-    order_router::OrderRouter,
+    ControlError, EntryDirectory, conditional_orders::DECISION_TIMEOUT, directory_entries,
+    liveness::LivenessReporter, order_router::OrderRouter,
 };
 use async_trait::async_trait;
-use follow::SubmitResult;
-use peer::{FreshnessAnswer, FreshnessRequest, PeerLink};
+use peer::PeerLink;
 use replica::ReplicaHandle;
 use runtime::{DecisionCounters, Logger, TimerService};
 use slog::{info, warn};
-use std::{
-    collections::BTreeSet,
-    net::SocketAddr,
-    sync::Arc,
-    time::{Duration, Instant},
-};
-use tokio::time::timeout;
+use std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Instant};
 use types::{
     AnnounceDecision, Announcement, Command, CommandAnswer, DomainName, RequestReport,
     RoutingDecision, RoutingDocument, RoutingVersion, ServerName, ServerState, SourceText,
 };
 
-/// Timeout of a decision. Shorter than the 1 s for which clients of the control plane wait.
-const DECISION_TIMEOUT: Duration = Duration::from_millis(900);
-
 /// Maximum number of findings in a report about requests.
 const MAX_REPORTED_REQUESTS: usize = 256;
 
 /// Requests that operators and servers may send to a replica.
+///
+/// A caller that stops waiting drops the future. An order that has not been submitted by then is not
+/// carried out.
 #[async_trait]
 pub trait ControlPlane: Send + Sync {
     /// Registers a server or changes its state. If the server announces that it is leaving, success
@@ -55,11 +48,11 @@
 
 /// The control plane of a replica, which submits every command to the leader, local or remote.
 pub struct ReplicaControl {
-    replica: ReplicaHandle,
-    router: OrderRouter,
+    pub(crate) replica: ReplicaHandle,
+    pub(crate) router: OrderRouter,
     liveness: Arc<LivenessReporter>,
     domains: BTreeSet<DomainName>,
-    counters: DecisionCounters,
+    pub(crate) counters: DecisionCounters,
     logger: Logger,
 }
 
@@ -82,18 +75,6 @@
         Arc::new(Self { replica, router, liveness, domains, counters, logger })
     }
 
-    /// Submits a command to the leader and waits until it is applied there.
-    async fn submit(&self, command: Command) -> Result<CommandAnswer, ControlError> {
-        let deadline = Instant::now() + DECISION_TIMEOUT;
-        match self.router.submit(&command, deadline).await {
-            SubmitResult::Applied(answer) => Ok(answer),
-            SubmitResult::Refused(reason) => Err(ControlError::Unavailable(reason)),
-            SubmitResult::Unknown => {
-                Err(ControlError::Unavailable("no leader answered".to_owned()))
-            }
-        }
-    }
-
     /// Records what an entry reports about requests that crash servers.
     ///
     /// # Errors
@@ -167,7 +148,7 @@
         let result = self.submit(command).await;
         let decision = match result {
             Ok(CommandAnswer::Announce(decision)) => decision,
-            Ok(_) => return Err(unexpected_answer()),
+            Ok(_) => return Err(ControlError::unexpected_answer()),
             Err(error) => {
                 self.counters.count("announcement-undecided");
                 self.log_announcement(&announcement, &error.to_string());
@@ -212,7 +193,7 @@
             Ok(CommandAnswer::Routing(RoutingDecision::OtherContent)) => {
                 Err(ControlError::VersionTaken(version))
             }
-            Ok(_) => Err(unexpected_answer()),
+            Ok(_) => Err(ControlError::unexpected_answer()),
             Err(error) => Err(error),
         };
         self.counters.count(if result.is_ok() { "routing-taken" } else { "routing-not-taken" });
@@ -225,15 +206,8 @@
     }
 
     async fn read_routing(&self) -> Result<SourceText, ControlError> {
-        // Once the read is confirmed, the local replica has applied every earlier decision.
-        let request = FreshnessRequest {
-            entry: None,
-            version: self.replica.view().version,
-            known_replicas: 0,
-            may_relay: true,
-        };
-        let confirmed = timeout(DECISION_TIMEOUT, self.replica.freshness(request)).await;
-        if !matches!(confirmed, Ok(FreshnessAnswer::Granted(_))) {
+        let confirmed = self.try_confirm_view(Instant::now() + DECISION_TIMEOUT).await;
+        if confirmed.is_none() {
             return Err(ControlError::Unavailable("no leader confirmed the read".to_owned()));
         }
         self.replica.routing_source().ok_or(ControlError::NoRouting)
@@ -243,8 +217,7 @@
         if !self.domains.is_empty() && !self.domains.contains(&domain) {
             return Err(ControlError::UnknownDomain(domain));
         }
-        let command = Command::SetDrain(domain.clone(), is_drained);
-        let result = self.submit(command).await.map(|_| ());
+        let result = self.decide_drain(&domain, is_drained).await;
         let outcome = outcome_text(&result);
         self.counters.count("drain");
         info!(self.logger, "drain"; "domain" => %domain, "drained" => is_drained,
@@ -265,7 +238,3 @@
         Err(error) => error.to_string(),
     }
 }
-
-fn unexpected_answer() -> ControlError {
-    ControlError::Unavailable("the leader answered another command".to_owned())
-}
