--- a/crates/control/src/conditional_orders.rs
+++ b/crates/control/src/conditional_orders.rs
@@ -16,8 +16,8 @@
 };
 use tokio::time::{sleep, timeout_at};
 use types::{
-    ChangeAction, ChangeAnswer, ChangeId, ChangeRequest, ClusterView, Command, CommandAnswer,
-    DomainName, RefusalKind,
+    AnnounceDecision, Announcement, ChangeAction, ChangeAnswer, ChangeId, ChangeRequest,
+    ClusterView, Command, CommandAnswer, DomainName, RefusalKind, ServerName, ServerState,
 };
 use uuid::Uuid;
 
@@ -67,6 +67,30 @@
         }
     }
 
+    /// Takes a departed server out of service, unless another incarnation registers before that.
+    ///
+    /// The incarnation that the quorum confirmed is registered as leaving, which it stays until its
+    /// lease ends or it starts again. `Command::Depart` names no incarnation.
+    pub(crate) async fn decide_departure(&self, server: &ServerName) -> Result<(), ControlError> {
+        let deadline = Instant::now() + DECISION_TIMEOUT;
+        loop {
+            let view = self.confirm_view(deadline).await?;
+            let Some(registered) = view.server(server) else {
+                return Ok(());
+            };
+            let leaving = Announcement {
+                state: ServerState::Leaving,
+                sequence: registered.sequence.saturating_add(1),
+                ..(**registered).clone()
+            };
+            match self.submit_until(Command::Announce(Arc::new(leaving)), deadline).await? {
+                CommandAnswer::Announce(AnnounceDecision::Registered) => return Ok(()),
+                CommandAnswer::Announce(_) => self.counters.count("order-outdated"),
+                _ => return Err(ControlError::unexpected_answer()),
+            }
+        }
+    }
+
     /// Asks a quorum to confirm the local view as of a time after this call. Returns the view, or
     /// `None` if no leader confirms it.
     pub(crate) async fn try_confirm_view(&self, deadline: Instant) -> Option<Arc<ClusterView>> {
--- a/crates/control/src/plane.rs
+++ b/crates/control/src/plane.rs
@@ -28,7 +28,7 @@
     /// means that the registry holds this state.
     async fn announce(&self, announcement: Announcement) -> Result<AnnounceDecision, ControlError>;
 
-    /// Removes a departed server.
+    /// Takes a departed server out of service until it starts again.
     async fn depart(&self, server: ServerName) -> Result<(), ControlError>;
 
     /// Puts a routing document in force, unless a higher version is in force. `source` is the text
@@ -104,7 +104,8 @@
         let view = self.replica.view();
         if let Some(routing) = view.routing()
             && routing.pool(&announcement.service).is_none()
-            && view.server(&announcement.server).is_some()
+            && let Some(registered) = view.server(&announcement.server)
+            && registered.state != ServerState::Leaving
         {
             return Err(invalid(format!("service {} is not declared", announcement.service)));
         }
@@ -167,7 +168,7 @@
     }
 
     async fn depart(&self, server: ServerName) -> Result<(), ControlError> {
-        let result = self.submit(Command::Depart(server.clone())).await.map(|_| ());
+        let result = self.decide_departure(&server).await;
         let outcome = outcome_text(&result);
         self.counters.count("departure");
         info!(self.logger, "departure"; "server" => %server, "outcome" => outcome);
--- a/crates/control/tests/late_orders.rs
+++ b/crates/control/tests/late_orders.rs
@@ -23,7 +23,7 @@
     sync::watch,
     time::{sleep, timeout},
 };
-use types::{DomainName, HostName, ViewVersion};
+use types::{Announcement, DomainName, HostName, ServerIncarnation, ServerState, ViewVersion};
 
 const REPLICAS: u64 = 3;
 /// Time in which the test machine carries out an order.
@@ -220,6 +220,89 @@
     assert!(other.handle.view().is_drained(&domain()));
 }
 
+fn announcement(incarnation: u64, state: ServerState) -> Announcement {
+    Announcement {
+        server: "s-1".parse().expect("name"),
+        service: "desk".parse().expect("name"),
+        address: SocketAddr::from(([10, 0, 0, 1], 8080)),
+        domain: domain(),
+        slots: 3,
+        incarnation: ServerIncarnation(incarnation),
+        sequence: 1,
+        state,
+    }
+}
+
+/// Sends an announcement until it is acknowledged, as servers do.
+async fn announce(node: &Node, incarnation: u64) {
+    let started = Instant::now();
+    while node.control.announce(announcement(incarnation, ServerState::Ready)).await.is_err() {
+        assert!(started.elapsed() < SLACK, "the announcement is not acknowledged");
+    }
+}
+
+async fn depart(node: &Node) {
+    let started = Instant::now();
+    while node.control.depart("s-1".parse().expect("name")).await.is_err() {
+        assert!(started.elapsed() < SLACK, "the departure is not acknowledged");
+    }
+}
+
+fn is_in_service(node: &Node, incarnation: u64) -> bool {
+    let view = node.handle.view();
+    let server = view.server(&"s-1".parse().expect("name"));
+    server.is_some_and(|server| {
+        server.incarnation == ServerIncarnation(incarnation) && server.state == ServerState::Ready
+    })
+}
+
+/// Guards against a departure that a replica reads when it wakes up, although the server has left and
+/// started again: the next incarnation would be removed and get no request for good, while its
+/// announcements are acknowledged.
+#[tokio::test]
+async fn departure_whose_server_has_left_does_not_remove_the_next_incarnation() {
+    let (follower, other, _rest) = start().await;
+    announce(&other, 1).await;
+    depart(&other).await;
+    announce(&other, 2).await;
+    wait_for_version(&follower, other.handle.view().version).await;
+    let late = follower.control.depart("s-1".parse().expect("name")).now_or_never();
+    assert!(late.is_none(), "decided without a quorum");
+    sleep(SETTLE_TIME).await;
+    announce(&other, 2).await;
+    assert!(is_in_service(&other, 2));
+}
+
+/// Guards against a departure that reaches the leader only after the server has started again.
+#[tokio::test]
+async fn departure_that_reaches_the_leader_late_does_not_remove_the_next_incarnation() {
+    let (follower, other, _rest) = start().await;
+    announce(&other, 1).await;
+    wait_for_version(&follower, other.handle.view().version).await;
+    follower.is_open.send_replace(false);
+    let given_up = follower.control.depart("s-1".parse().expect("name")).await;
+    assert!(given_up.is_err(), "no leader got it: {given_up:?}");
+    depart(&other).await;
+    announce(&other, 2).await;
+    follower.is_open.send_replace(true);
+    sleep(SETTLE_TIME).await;
+    announce(&other, 2).await;
+    assert!(is_in_service(&other, 2));
+}
+
+/// Guards against a server that is used again after its departure, because an announcement of the
+/// same incarnation arrives late.
+#[tokio::test]
+async fn announcement_after_the_departure_does_not_bring_the_server_back() {
+    let (follower, other, _rest) = start().await;
+    announce(&other, 1).await;
+    depart(&follower).await;
+    let late = Announcement { sequence: 9, ..announcement(1, ServerState::Ready) };
+    other.control.announce(late).await.expect("acknowledged");
+    wait_for_version(&follower, other.handle.view().version).await;
+    assert!(!is_in_service(&other, 1) && !is_in_service(&follower, 1));
+}
+
 /// Guards against orders that are refused for good because others come at the same time.
 #[tokio::test]
 async fn concurrent_orders_are_all_acknowledged() {
