--- a/crates/types/src/routing.rs
+++ b/crates/types/src/routing.rs
@@ -269,8 +269,9 @@
 
     /// Selects the service of a request by weight. `draw` is a uniform random number from 0 to 1.
     pub fn pick_service(&self, draw: f64) -> Option<&ServiceName> {
-        let total: u32 = self.parts.iter().map(|part| part.weight).sum();
-        let mut remaining = draw.clamp(0.0, 1.0) * f64::from(total);
+        // In floating point, since the sum of the weights may exceed `u32`.
+        let total: f64 = self.parts.iter().map(|part| f64::from(part.weight)).sum();
+        let mut remaining = draw.clamp(0.0, 1.0) * total;
         for part in self.parts.iter().filter(|part| part.weight > 0) {
             remaining -= f64::from(part.weight);
             if remaining < 0.0 {
--- a/crates/types/tests/routing.rs
+++ b/crates/types/tests/routing.rs
@@ -203,3 +203,15 @@
     }
     assert_eq!(state.view().drain_version(&domain).0, 3);
 }
+
+/// Guards against a process that ends on a document of another writer, whose weights exceed what
+/// their sum can hold.
+#[test]
+fn weights_with_a_large_sum_split_requests_evenly() {
+    let part =
+        |service: &str| RoutePart { service: service.parse().expect("name"), weight: u32::MAX };
+    let parts = [part("desk"), part("archive")].into_iter().collect();
+    let route = RouteSpec { parts, ..route("a", "/", "desk") };
+    let picked = |draw| route.pick_service(draw).map(|service| service.as_str());
+    assert_eq!((picked(0.25), picked(0.75)), (Some("desk"), Some("archive")));
+}
