--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -154,7 +154,6 @@
             {
                 return Ok(true);
             }
-            let may_read = self.buffer.len() < READ_AHEAD_BYTES && !self.is_input_closed;
             let deadline = self.read_deadline();
             tokio::select! {
                 biased;
@@ -163,11 +162,11 @@
                         return Ok(true);
                     }
                 }
-                read = self.stream.read_buf(&mut self.buffer), if may_read => {
+                read = self.stream.read_buf(&mut self.buffer), if self.may_read() => {
                     if read? == 0 {
                         return Ok(false);
                     }
-                    self.request_started.get_or_insert_with(Instant::now);
+                    self.accept_input();
                 }
                 changed = self.stop.changed(), if stage < StopStage::Closing => {
                     if changed.is_err() {
@@ -184,6 +183,21 @@
         }
     }
 
+    /// Returns whether to read from the connection. It is read from also when no further request is
+    /// accepted, since this is how a caller that leaves is noticed.
+    fn may_read(&self) -> bool {
+        self.is_input_closed || self.buffer.len() < READ_AHEAD_BYTES
+    }
+
+    /// Takes note of bytes that have been read, or drops them if no further request is accepted.
+    fn accept_input(&mut self) {
+        if self.is_input_closed {
+            self.buffer.clear();
+        } else {
+            self.request_started.get_or_insert_with(Instant::now);
+        }
+    }
+
     fn is_stopping(&self) -> bool {
         *self.stop.borrow() > StopStage::Serving
     }
@@ -390,6 +404,15 @@
                     self.finished.push_back(finished);
                     continue;
                 }
+                read = self.stream.read_buf(&mut self.buffer), if self.may_read() => {
+                    if read? == 0 {
+                        let reason = "the caller has left";
+                        self.forwarder.record_broken_answer(traits.id.as_ref(), reason);
+                        return Err(io::ErrorKind::ConnectionAborted.into());
+                    }
+                    self.accept_input();
+                    continue;
+                }
             };
             let written = match next {
                 Ok(Some(part)) => {
--- a/crates/gateway/tests/harness/scripted_server.rs
+++ b/crates/gateway/tests/harness/scripted_server.rs
@@ -169,6 +169,11 @@
         self.runs.load(Ordering::SeqCst)
     }
 
+    /// Returns the number of requests in progress.
+    pub fn open_requests(&self) -> usize {
+        self.running.load(Ordering::SeqCst)
+    }
+
     fn current_load(&self) -> ServerLoad {
         let load = *self.load.lock();
         if !self.is_bounded.load(Ordering::SeqCst) {
