--- a/crates/control/src/plane.rs
+++ b/crates/control/src/plane.rs
@@ -93,8 +93,8 @@
         result
     }
 
-    /// Refuses announcements with invalid values, of unknown failure domains, or of a registered
-    /// server with an undeclared service, before they are submitted.
+    /// Refuses announcements with invalid values, of unknown failure domains, or with an undeclared
+    /// service in place of that of a server in service, before they are submitted.
     fn check_announcement(&self, announcement: &Announcement) -> Result<(), ControlError> {
         let invalid = ControlError::InvalidAnnouncement;
         announcement.verify().map_err(|error| invalid(error.to_string()))?;
@@ -102,10 +102,15 @@
             return Err(invalid(format!("failure domain {} is not known", announcement.domain)));
         }
         let view = self.replica.view();
+        let is_departure = |registered: &Announcement| {
+            announcement.state == ServerState::Leaving
+                && announcement.incarnation == registered.incarnation
+        };
         if let Some(routing) = view.routing()
             && routing.pool(&announcement.service).is_none()
             && let Some(registered) = view.server(&announcement.server)
             && registered.state != ServerState::Leaving
+            && !is_departure(registered)
         {
             return Err(invalid(format!("service {} is not declared", announcement.service)));
         }
