--- a/crates/consensus/src/core.rs
+++ b/crates/consensus/src/core.rs
@@ -297,8 +297,8 @@
         }
     }
 
-    /// Creates a snapshot at `index` from `state`, and drops the log up to `index` except for the
-    /// last entries within the limits of `retained`. `index` is limited to the entries returned for application so far.
+    /// Creates a snapshot at `index`, at most the last entry returned for application, from `state`.
+    /// Drops the log up to `index` except for the last entries that `retained` allows.
     ///
     /// Returns the new snapshot, or `None` if there is one of that or a later index already.
     pub fn compact(
