--- a/crates/consensus/src/core.rs
+++ b/crates/consensus/src/core.rs
@@ -417,12 +417,11 @@
     /// stale leader steps down. Ignores all other messages.
     fn handle_stale_message(&mut self, envelope: &Envelope) {
         match envelope.message {
-            Message::Append { .. } | Message::Install { .. } => {
-                // Only the term of this answer matters to its receiver. It confirms no round, since
-                // the receiver may lead in this term and have counted its rounds anew.
+            Message::Append { round, .. } | Message::Install { round, .. } => {
+                // Only the term of this answer matters to its receiver.
                 let (prev_index, hint) = (self.log.last_index(), self.log.last_index());
                 let result = AppendResult::Rejected { prev_index, hint };
-                self.send(envelope.from, Message::AppendAnswer { result, round: 0 });
+                self.send(envelope.from, Message::AppendAnswer { result, round });
             }
             Message::PreVote { .. } => {
                 self.send(envelope.from, Message::PreVoteAnswer { granted: false });
